--- /dev/null
+++ b/mulleinhall/__init__.py
@@ -0,0 +1,1 @@
+"""Admission decisions for gateways of a service sold by plan."""
--- /dev/null
+++ b/mulleinhall/logic.py
@@ -0,0 +1,732 @@
+"""All decisions of an admission gateway: whom to let in, where to send, when to give up.
+
+The types, settings, events and actions are those of `mulleinhall/interface.py`.
+
+The ordinary path is the sliced token bucket of docs/design.md: a bucket for each customer, fed 1/count
+of the quota; what does not fit is refused at once.  All else departs from that or is left open by it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from math import exp
+from zlib import crc32
+
+import mulleinhall.interface as api
+
+EPOCH = 30.0  # s: a counter name serves this long; half of the longest life a name may have
+LOW = 0.5  # of the slice: below this a gateway tells others of its use
+FRESH = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
+PEER_PERIOD = 0.25  # s between two messages to peers; short beside any burst, long beside any request
+EXACT = 0.1  # bursts that a count may pass its ends by before it is put right; more where it is crowded
+ASK_LESS = 0.3  # of the questions: fewer after one that failed; a quick answer brings an eighth of it back
+LEAST_ASKED = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
+QUICK = 0.25  # of the time-out: a counter that answers sooner can take more
+IDLE = 60.0  # s: a customer unseen this long is dropped if its buckets are full
+SMOOTH = 0.15  # weight of a new sample in a running mean: about the last dozen count
+BUSY = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
+START_LIMIT = 1.0  # attempts a backend gets from here before its first answer; it grows with good ones
+CUT = 0.85  # a backend's limit shrinks to this share when it is busy
+SPARE = 0.55  # of what the backends may hold: past it the least worth goes first
+CALM, JAM = 0.2, 0.45  # of the aim: attempts out this long on the mean begin, and end, to be shed
+RECENT = 3.0  # s over which the mean time out is taken: some answers at one gateway of hundreds
+SUBSET = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
+RETRY_SHARE = 0.15  # further attempts for each first one, on the mean
+COLD_MARGIN = 0.7  # of what a cold backend bears, all gateways together
+STALL = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
+FAILURE_ROW = 3  # errors or time-outs in a row that eject a backend
+MIN_ELIGIBLE = 0.5  # of the backends: ejection never leaves fewer
+CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
+TICK, DISCOVERY = 0, 1  # timer tokens
+
+
+class Bucket:
+    """A token bucket: fills at `rate` up to `cap`."""
+
+    def __init__(self, rate: float, cap: float, level: float, now: float) -> None:
+        self.rate, self.cap, self.level, self.at = rate, cap, level, now
+
+    def fits(self, now: float, units: float, cap: float | None = None) -> bool:
+        cap = self.cap if cap is None else cap
+        self.level = min(max(cap, self.level), self.level + self.rate * (now - self.at))
+        self.at = now
+        return self.level >= units - 1e-9
+
+    def take(self, units: float) -> None:
+        self.level -= units
+
+
+class Elsewhere:
+    """What is known of one customer's store when the use of the other gateways is counted in.
+
+    Danger: a customer gathered on few gateways is refused while its other slices sit full.  Told use
+    (counter, peers) is taken off a copy of the whole store, which is believed only for a while.
+    """
+
+    def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
+        self.fill, self.cap, self.thin = plan.rate, plan.burst, thin
+        self.life = FRESH * plan.burst / plan.rate if plan.rate else 1.0
+        self.base, self.own = plan.burst, 0.0  # the level when last told, and what was used here since
+        self.rate = 0.0  # units/s the others use as told
+        self.at, self.told_at = now, -1e18
+
+    def fresh(self, now: float) -> bool:
+        return now - self.told_at <= self.life
+
+    def level(self, now: float) -> float:
+        """The level now, if the others go on as they did, less so the longer nothing is heard."""
+        gap = now - self.at
+        others = self.rate * (gap if self.thin else self.life * (1.0 - exp(-gap / self.life)))
+        return min(self.cap, self.base + self.fill * gap - others - self.own)
+
+    def take(self, now: float, units: float) -> None:
+        self.own += min(units, max(0.0, self.level(now)))
+
+    def told(self, now: float, used: float) -> None:
+        """The others used `used` units since the last word."""
+        gap = now - self.at
+        level = self.base + self.fill * gap - self.own
+        self.base = max(-self.cap, min(self.cap, level - used))
+        self.rate = self.rate * exp(-gap / self.life) + used / max(gap, self.life)
+        self.own, self.at, self.told_at = 0.0, now, now
+
+    def reset(self, now: float, level: float) -> None:
+        """The first word on this customer: its whole store is thought to hold `level`."""
+        self.base, self.own, self.at, self.told_at = min(self.cap, level), 0.0, now, now
+
+
+class Customer:
+    """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
+
+    def __init__(self, event: api.Request, plan: api.Plan, now: float, age: float, can_learn: bool,
+                 most: float) -> None:
+        self.key, spread, self.first = event.customer, event.spread, event.first
+        self.plan, self.spread, self.hash, self.seen = plan, max(1, spread), crc32(self.key.encode()), now
+        share, burst = plan.rate / self.spread, plan.burst / self.spread
+        # Danger: each restart hands out a full burst anew.  Where more can be learned, a young process
+        # starts the slice with what it has filled since.
+        start = min(burst, share * age) if can_learn else burst
+        # A slice under the largest request holds none: it is asked about first, and what cannot be asked
+        # is sent where that pays on the mean.
+        self.thin = can_learn and plan.rate > 0 and plan.burst < self.spread * most
+        self.slice = Bucket(share, burst, start, now)
+        self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
+                              min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
+        self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
+        self.elsewhere = Elsewhere(plan, now, self.thin)
+        self.unreported, self.used = 0.0, 0.0
+        self.name, self.name_start, self.mine, self.others = -1, now, 0.0, 0.0
+        self.asked_at = -1e18  # when the counter call that is out was made
+        self.held: list[Job] = []
+
+    def resize(self, now: float, event: api.Request) -> None:
+        """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
+        part = self.spread / max(1, event.spread)
+        self.spread, self.first = max(1, event.spread), event.first
+        for bucket in (self.slice, self.ceiling):
+            bucket.fits(now, 0.0)
+            bucket.rate, bucket.cap = bucket.rate * part, bucket.cap * part
+            bucket.level = min(bucket.level, bucket.cap)
+        self.open_limit = max(1, int(self.plan.open_limit / self.spread))
+
+    def idle(self, now: float) -> bool:
+        """Whether it can be forgotten: a new one with full buckets would be the same."""
+        return (now - self.seen > IDLE and not self.open and not self.held
+                and self.slice.fits(now, self.slice.cap) and self.ceiling.fits(now, self.ceiling.cap))
+
+    def siblings(self, settings: api.Settings) -> list[int]:
+        """The numbers of the other gateways that this customer may use."""
+        numbers = ((self.first + n) % settings.gateways for n in range(self.spread))
+        return [n for n in numbers if n != settings.number]
+
+    def slice_fits(self, now: float, units: float) -> bool:
+        return self.slice.fits(now, units, max(self.slice.cap, units))
+
+    def take(self, now: float, units: float, counted: bool) -> None:
+        """Units are spent; what a slice lends out from elsewhere leaves it empty, not in debt."""
+        self.elsewhere.take(now, units)
+        self.slice.level = max(0.0, self.slice.level - units)
+        self.unreported += 0.0 if counted or self.thin else units
+        self.used += units
+
+    def settle(self, units: float) -> None:
+        """The answer told the true units: the difference is taken or given back."""
+        self.elsewhere.own += units
+        self.slice.level = min(max(self.slice.cap, self.slice.level), self.slice.level - units)
+        self.unreported += 0.0 if self.thin else units
+        self.used += units
+
+
+class Job:
+    """A request that this gateway owes an answer."""
+
+    def __init__(self, event: api.Request, cls: api.RequestClass, plan: api.Plan, customer: Customer,
+                 now: float) -> None:
+        self.id, self.cls, self.plan, self.customer, self.units = event.id, cls, plan, customer, event.units
+        self.deadline = now + event.time_left
+        self.inside = False  # its units were taken from the slice
+        self.taken = False  # its first attempt was sent
+        self.counted = False  # its units are in the customer's unreported use already
+        self.over = False
+        self.late = False  # it cannot be answered within its aim any more
+        self.tries: list[tuple[Server, float]] = []  # backend and time of each attempt, in order
+        self.out: dict[int, Server] = {}
+        self.maybe: list[tuple[Server, float]] = []  # attempts out or that may have run
+
+    def may_refuse(self) -> bool:
+        """Danger: 'refused' tells the client that a retry is harmless.  One place decides it."""
+        return self.cls.semantics is api.Semantics.SAFE or not self.maybe
+
+    def may_send(self, server: Server, now: float, settings: api.Settings) -> bool:
+        """Danger: an effect that happens twice.  One place decides whether one more attempt may go."""
+        if len(self.tries) >= settings.max_attempts or (self.out and not settings.second_copies):
+            return False
+        if self.cls.semantics is api.Semantics.SAFE or not self.maybe:
+            return True
+        if self.cls.semantics is api.Semantics.UNSAFE:
+            return False
+        scope, info = self.cls.scope, server.info
+        return all(
+            now + settings.tick < sent + self.cls.window
+            and (scope is api.Scope.ALL or (scope is api.Scope.ZONE and info.zone == other.info.zone)
+                 or (scope is api.Scope.CELL and info.cell == other.info.cell))
+            for other, sent in self.maybe)
+
+
+class Server:
+    """One backend: what it holds from here, how it fares, and whether it is cold or leaving."""
+
+    def __init__(self, info: api.Backend, now: float, level: float = 0.0) -> None:
+        self.info, self.present = info, True
+        self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
+        self.fresh_start(now, level)
+
+    def fresh_start(self, now: float, level: float) -> None:
+        """Danger: cold budgets far under one attempt that start alike reach it at one moment, or too late.
+        With a `level` drawn evenly from 0 to 1 all gateways together send at their rate from the start."""
+        self.pace, self.pace_at = 1.0, now  # answer time beside what the class takes on the mean
+        self.wait = BUSY  # mean answer time as a share of the aim
+        self.limit, self.cut_at, self.was_cut = START_LIMIT, now, False
+        self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
+        self.budget = Bucket(0.0, 1.0, level, now)
+
+    def cold(self, now: float, settings: api.Settings) -> bool:
+        return self.info.started > 0.0 and now < self.info.started + settings.cold_time
+
+    def answered(self, now: float, latency: float, mean: float, aim: float) -> None:
+        self.pace += SMOOTH * (latency / max(mean, 1e-6) - self.pace)
+        self.pace_at = self.heard_at = now
+        self.wait += SMOOTH * (latency / aim - self.wait)
+        if self.wait > BUSY:
+            self.cut(now, latency)
+        elif latency < BUSY * aim and len(self.out) + 1 >= SPARE / 2 * self.limit:
+            self.limit += 1.0 / max(self.limit, 1.0) if self.was_cut else 1.0
+
+    def cut(self, now: float, every: float) -> None:
+        if now - self.cut_at >= every:
+            self.limit, self.cut_at = max(1.0, min(self.limit, len(self.out) + 1.0) * CUT), now
+            self.was_cut = True
+
+    def stalled(self, now: float, mean: float) -> bool:
+        """Danger: a backend that died silently looks idle until the first deadline passes.  Covers
+        one that runs many times slower; harm when single requests take far longer than the mean."""
+        return bool(self.out) and now - max(self.heard_at, next(iter(self.out.values()))) > STALL * mean
+
+    def oldest(self, now: float) -> float:
+        return now - next(iter(self.out.values())) if self.out else 0.0
+
+    def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
+        """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused and broken
+        connections at the first sign, errors and time-outs when they come in a row; each further
+        failure doubles the pause, and one attempt then tries it again."""
+        if outcome is api.Outcome.FULL:
+            if self.wait >= BUSY:  # else it answers others quickly: it is about this request, not its load
+                self.cut(now, 0.0)
+                self.retry_at = max(self.retry_at, now + patience / 4)
+            return
+        self.failures += 1
+        self.unreachable = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
+        row = self.failures - (0 if self.unreachable else FAILURE_ROW - 1)
+        if row > 0:
+            self.retry_at = now + patience / 2 * 2.0 ** min(row - 1, 4)
+
+    def ejected(self, now: float) -> bool:
+        if not self.unreachable and self.failures < FAILURE_ROW:
+            return now < self.retry_at
+        return now < self.retry_at or bool(self.out)
+
+    def load(self, now: float, mean: float, patience: float, zone: str, chance: float) -> float:
+        """What it is thought to hold for its size.  Danger: gateways that each hold next to nothing would
+        all choose the same largest backend; with `chance` exponential, idle ones are chosen by size."""
+        pace: float = 1.0 + (self.pace - 1.0) * 0.5 ** ((now - self.pace_at) / (3 * patience))
+        pace = max(pace, self.oldest(now) / max(mean, 1e-6) / 3.0, 0.2)
+        return (len(self.out) + chance) * pace / max(self.info.weight, 1e-6) * (
+            CROSS_ZONE if zone != self.info.zone else 1.0)
+
+
+class Fleet:
+    """All backends, and what is known of them together."""
+
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self.settings, self.rng = settings, rng
+        self.servers: dict[str, Server] = {}
+        self.means: dict[str, float] = {}
+        self.patience = max(c.aim for c in settings.classes)
+        self.units = 1.0  # of a request, on the mean
+        self.typical = 0.0  # answers a second from here for a unit of weight, when warm
+        self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
+        self.densities: deque[float] = deque(maxlen=256)
+        self.present: list[Server] = []
+        self.near: list[Server] = []  # this gateway's subset, by rendezvous hash: what it learns is of use
+        self.held: dict[tuple[str, int], tuple[float, float]] = {}
+        self.area, self.sends, self.wait_at = BUSY, 1.0, -1e18
+
+    def change(self, event: api.BackendsChanged, now: float) -> None:
+        if event.kind is api.ListKind.UNAVAILABLE:
+            return
+        named = {info.id for info in event.backends}
+        if event.kind is not api.ListKind.UPDATE:
+            for server in self.servers.values():
+                server.present = server.present and server.info.id in named
+        for info in event.backends:
+            if info.id not in self.servers:
+                self.servers[info.id] = Server(info, now, self.rng.random())
+            server = self.servers[info.id]
+            if info.started != server.info.started:
+                server.fresh_start(now, self.rng.random())
+            server.info, server.present = info, info.readiness is api.Readiness.READY
+        for name in [n for n, s in self.servers.items() if not s.present and not s.out]:
+            if self.servers[name].info.readiness is api.Readiness.GONE or name not in named:
+                del self.servers[name]
+        self.present = [s for s in self.servers.values() if s.present]
+        self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
+        self.near = self.near[:SUBSET]
+
+    def mean(self, cls: api.RequestClass) -> float:
+        return max(self.means.get(cls.name, cls.aim / 8), self.settings.tick)
+
+    def note_done(self, now: float, cls: api.RequestClass, latency: float) -> None:
+        mean = self.means.setdefault(cls.name, latency)
+        self.means[cls.name] = mean + SMOOTH / 4 * (min(latency, cls.aim) - mean)
+        span = max(self.settings.cold_time / 4, 1.0)
+        self.done = self.done * max(0.0, 1 - (now - self.done_at) / span) + 1.0 / span
+        self.done_at = now
+
+    def work(self, job: Job) -> float:
+        """How much work a request is likely to bring, beside the mean request."""
+        means = list(self.means.values()) or [self.mean(job.cls)]
+        return self.mean(job.cls) * len(means) / sum(means) * job.units / max(self.units, 1e-6)
+
+    def cold_ok(self, server: Server, now: float, job: Job) -> bool:
+        """Danger: a cold backend that all gateways fill at once falls over and stays down.  Each
+        gateway keeps its own part: what backends carry from here when warm, by what a cold one bears."""
+        s = self.settings
+        if not server.cold(now, s):
+            return True
+        warm = sum(x.info.weight for x in self.present if not x.cold(now, s))
+        if warm >= MIN_ELIGIBLE * sum(x.info.weight for x in self.present):
+            self.typical = self.done / warm  # when most are cold, what was typical before still holds
+        share = s.cold_share + (1 - s.cold_share) * (now - server.info.started) / max(s.cold_time, 1e-6)
+        typical = self.typical * server.info.weight
+        least = 0.5 / (s.fall_time * s.gateways)
+        server.budget.rate = max(least, COLD_MARGIN * s.fall_factor * min(1.0, share) * typical)
+        free, work = len(server.out) < max(1.0, server.budget.rate), self.work(job)
+        return free and server.budget.fits(now, work, max(1.0, work))
+
+    def wait(self, now: float) -> float:
+        """The mean time attempts stay out, in aims, by Little's law: the mean number out over the rate of
+        sends.  Tells of a jam before any answer comes, and from few attempts; forgets when nothing is sent.
+        An attempt counts no longer than JAM: a few backends that never answer are no jam."""
+        while self.held and next(iter(self.held.values()))[0] < now:
+            del self.held[next(iter(self.held))]
+        keep = exp(-min(now - self.wait_at, 100 * RECENT) / RECENT)
+        self.area = self.area * keep + (sum(w for _, w in self.held.values()) * RECENT + BUSY) * (1 - keep)
+        self.sends = self.sends * keep + (1 - keep)
+        self.wait_at = now
+        return self.area / self.sends
+
+    def pressure(self, now: float) -> float:
+        """The share of requests to shed; below nothing there is room."""
+        limits = sum(s.limit for s in self.present)
+        full = sum(len(s.out) for s in self.present) / limits if limits else 1.0
+        return max((full - SPARE) / (1 - SPARE), (self.wait(now) - CALM) / (JAM - CALM))
+
+    def rank(self, job: Job) -> float:
+        """The share of recent requests that are worth less for their work than this one."""
+        self.units += (job.units - self.units) * SMOOTH / 4
+        worth = job.cls.worth * (job.cls.late_worth if job.late else 1.0)
+        density = worth * job.plan.price / self.mean(job.cls)
+        self.densities.append(density)
+        below, same = sum(d < density for d in self.densities), self.densities.count(density)
+        return (below + self.rng.random() * same) / len(self.densities)
+
+    def best(self, job: Job, now: float, servers: list[Server]) -> Server | None:
+        tried = {server.info.id for server, _ in job.tries}
+        usable = [s for s in servers if job.may_send(s, now, self.settings)]
+        slow = max(self.means.values(), default=self.patience)
+        healthy = [s for s in usable if not s.stalled(now, slow) and not s.ejected(now)]
+        if len(healthy) < MIN_ELIGIBLE * len(usable):
+            # The cause is likely shared.  Danger: one that refuses connections at once would draw all.
+            healthy = [s for s in usable if s in healthy or not s.unreachable]
+        best: Server | None = None
+        best_load, mean = float("inf"), self.mean(job.cls)
+        for server in healthy:
+            if server.info.id in tried and len(usable) > len(tried):
+                continue
+            # Danger: a jam sends no answers, so nothing would tell of it.  What is out too long tells.
+            if server.oldest(now) > self.patience:
+                server.cut(now, self.patience / 4)
+            if len(server.out) >= server.limit:
+                continue
+            load = server.load(now, mean, self.patience, self.settings.zone, self.rng.expovariate(1.0))
+            if load < best_load and self.cold_ok(server, now, job):
+                best, best_load = server, load
+        if best is not None and best.cold(now, self.settings):
+            best.budget.take(self.work(job))
+        return best
+
+
+class Peers:
+    """What the peers' messages tell: for each of them its life and its running totals."""
+
+    def __init__(self) -> None:
+        self.heard: dict[int, float] = {}
+        self.life: dict[int, int] = {}
+        self.totals: dict[tuple[int, int], float] = {}
+
+    def read(self, event: api.PeerMessage, now: float, born: int) -> list[tuple[int, float]]:
+        """The use told by a message, as (customer's hash, units since the last word)."""
+        try:
+            life, *rows = event.text.split()
+            start = int(life)
+            entries = [(int(k, 16), int(v) / 10) for k, v in (row.split(":") for row in rows)]
+        except ValueError:
+            return []  # garbled: nothing is learned
+        if start < self.life.get(event.sender, start):
+            return []  # from an earlier life
+        if start > self.life.get(event.sender, start):
+            self.totals = {k: v for k, v in self.totals.items() if k[0] != event.sender}
+        self.life[event.sender], self.heard[event.sender] = start, now
+        news = []
+        for key, total in entries:
+            # Danger: to a fresh process a peer's whole past would look like use just now.  What a peer
+            # used before this process began is unknown; since then, all that it tells counts.
+            last = self.totals.get((event.sender, key), 0.0 if start >= born else total)
+            self.totals[event.sender, key] = max(last, total)
+            if total > last:
+                news.append((key, total - last))
+        return news
+
+
+class Gateway:
+    """The decisions of one gateway.  `handle` takes an event and gives the actions."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings, self.rng = settings, random.Random(seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: p for p in settings.plans}
+        self.fleet, self.peers = Fleet(settings, self.rng), Peers()
+        self.customers: dict[str, Customer] = {}
+        self.by_hash: dict[int, Customer] = {}
+        self.asked: dict[int, tuple[Customer, float]] = {}
+        self.jobs: dict[str, Job] = {}
+        self.out: dict[tuple[str, int], tuple[Job, Server]] = {}
+        self.born: float | None = None
+        self.life, self.asking, self.swept = 0, False, 0.0  # the last: when idle customers were dropped
+        self.retries = Bucket(0.0, 10.0, 1.0, 0.0)
+        # A receiver takes in only so many messages a second: half of that, for losses and bursts.
+        self.period = max(PEER_PERIOD, 2 * settings.gateways / max(1.0, settings.peer_rate))
+        # Word from all is worth more than a count, while they are few enough to tell it often.
+        self.counting = settings.counter and not (settings.peers and self.period <= PEER_PERIOD)
+        self.period = PEER_PERIOD if self.counting else self.period
+        self.answered_at = -1e18  # when the counter last answered
+        self.ask_share = 0.5  # of the questions that go to the counter
+        self.odds = {p.name: 0.5 for p in settings.plans}  # share of the questions answered with room
+        self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
+        self.untold: dict[str, Customer] = {}  # customers with use that the counter was not told
+        self.actions: list[api.Action] = []
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.actions = []
+        if self.born is None:
+            self.born, self.life = now, int(now * 1000)  # told to peers: milliseconds
+            self.answered_at = now  # the counter is thought to be there, but crowded
+            self.actions.append(api.SetTimer(self.period * self.rng.random(), TICK))
+            if self.settings.ask_discovery:
+                self.actions.append(api.Subscribe())
+        match event:
+            case api.Request():
+                self._request(now, event)
+            case api.AttemptEnded():
+                self._ended(now, event)
+            case api.CounterReply():
+                self._counted(now, event)
+            case api.PeerMessage():
+                for key, units in self.peers.read(event, now, self.life):
+                    if key in self.by_hash:
+                        self.by_hash[key].elsewhere.told(now, units)
+            case api.BackendsChanged():
+                self.fleet.change(event, now)
+                # Danger: every failed call that brings two more would flood the list's service.
+                if event.kind is api.ListKind.UNAVAILABLE and not self.asking:
+                    self.asking, wait = True, self.rng.uniform(0.1, 0.25) * self.settings.ask_within
+                    self.actions.append(api.SetTimer(wait, DISCOVERY))
+            case api.Timer(token=token):
+                if token == TICK:
+                    self._tick(now)
+                elif token == DISCOVERY:
+                    self.asking = False
+                    self.actions.append(api.Subscribe())
+            case api.Abandoned(id=rid):
+                if job := self.jobs.pop(rid, None):
+                    job.over = True
+            case api.StreamStarted(id=rid):
+                if job := self.jobs.get(rid):
+                    job.deadline = float("inf")
+        return self.actions
+
+    # Admission
+
+    def _request(self, now: float, event: api.Request) -> None:
+        plan, cls = self.plans[event.plan], self.classes[event.request_class]
+        customer = self.customers.get(event.customer)
+        if customer is not None and (customer.spread, customer.first) != (max(1, event.spread), event.first):
+            customer.resize(now, event)
+        if customer is None or customer.plan is not plan:
+            age = now - (self.born or 0.0)
+            customer = Customer(event, plan, now, age, self.counting, self.settings.most_units)
+            self.customers[event.customer] = self.by_hash[customer.hash] = customer
+        customer.seen = now
+        job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
+        # Danger: clients that come again too late take what others could use in time.  What a marked repeat
+        # has left tells when it began, unless its wait is cut to that of a first try.
+        if not event.repeat:
+            self.first_wait[cls.name] = event.time_left
+        elif abs(event.time_left - self.first_wait.get(cls.name, 0.0)) > self.settings.tick:
+            job.late = cls.deadline - event.time_left + self.fleet.mean(cls) > cls.aim
+        hopeless = job.late and not cls.late_worth
+        if hopeless or (plan.ceiling_rate and not customer.ceiling.fits(now, job.units)):
+            self._finish(now, job)
+        elif plan.rate and self._may_lend(now, job) and self._ask(now, customer, job):
+            customer.held.append(job)
+        else:
+            self._decide(now, job)
+
+    def _may_lend(self, now: float, job: Job) -> bool:
+        """Whether to ask the counter: the slice is low, as others may have been lent what it holds, and what
+        is known does not rule out that there is enough by now."""
+        known = job.customer.elsewhere
+        if job.customer.slice_fits(now, job.units + LOW * job.customer.slice.cap) or job.late:
+            return False
+        again = job.units / job.plan.rate if self.ask_share >= 1 else known.life  # s: later in a crowd
+        hope = now - known.told_at > again or known.level(now) >= job.units
+        return hope and job.deadline - now > 4 * self.settings.counter_timeout
+
+    def _pays(self, plan: api.Plan) -> bool:
+        """Whether a request of which nothing is known pays on the mean."""
+        return self.odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
+
+    def _known(self, now: float, customer: Customer) -> bool:
+        """Whether there is fresh word of the customer's use: a told total, or word from each sibling."""
+        if self.counting:
+            return customer.elsewhere.fresh(now)
+        last = min((self.peers.heard.get(n, -1e18) for n in customer.siblings(self.settings)), default=now)
+        return now - last < 4 * self.period
+
+    def _decide(self, now: float, job: Job) -> None:
+        """Inside the quota as far as is known: send.  Beyond it: refuse, or send where that pays."""
+        customer, plan = job.customer, job.plan
+        if job.over:
+            self._uncount(now, job)
+            return
+        if not plan.rate:
+            inside = True
+        elif self._known(now, customer):
+            # An asked total holds this request's units already; what was taken since is off the copy.
+            inside = customer.elsewhere.level(now) >= job.units
+        else:
+            inside, known = customer.slice_fits(now, job.units), customer.elsewhere
+            if not inside and customer.thin and now - self.answered_at < EPOCH / 3:  # crowded, not dead
+                recent = now - known.told_at < EPOCH / 3
+                inside = known.level(now) >= job.units if recent else self._pays(plan)
+        if plan.open_limit and customer.open >= customer.open_limit:
+            inside = False
+        pressure, job.inside = self.fleet.pressure(now), inside
+        pays = inside or (plan.over_worth > plan.over_cost and pressure < -0.1)
+        if plan.ceiling_rate and not customer.ceiling.fits(now, job.units):
+            pays = False
+        rank = self.fleet.rank(job)
+        if not pays or pressure > rank or not self._send(now, job):
+            self._finish(now, job)
+
+    def _send(self, now: float, job: Job) -> bool:
+        server = self.fleet.best(job, now, self.fleet.near) or self.fleet.best(job, now, self.fleet.present)
+        if server is None:
+            return False
+        if not job.taken:
+            job.taken = True
+            self.retries.level = min(self.retries.cap, self.retries.level + RETRY_SHARE)
+            if job.plan.ceiling_rate:
+                job.customer.ceiling.take(job.units)
+            if job.inside:
+                self.untold[job.customer.key] = job.customer
+                job.customer.take(now, job.units, job.counted)
+                job.counted = False
+        number = len(job.tries)
+        job.tries.append((server, now))
+        job.out[number] = server
+        job.maybe.append((server, now))
+        job.customer.open += 1
+        server.out[job.id, number] = now
+        self.fleet.wait(now)
+        self.fleet.sends += 1.0
+        self.fleet.held[job.id, number] = now + JAM * job.cls.aim, 1 / job.cls.aim
+        self.out[job.id, number] = job, server
+        self.actions.append(api.Send(job.id, server.info.id, max(job.deadline - now, 1e-6)))
+        return True
+
+    def _finish(self, now: float, job: Job) -> None:
+        """The final answer from here: refused if that is harmless, else failed."""
+        job.over = True
+        self._uncount(now, job)
+        self.jobs.pop(job.id, None)
+        if job.may_refuse():
+            # The whole store refills in this time, and the client may come back through another gateway.
+            wait = job.units / job.plan.rate if job.plan.rate and self.settings.retry_after else 0.0
+            self.actions.append(api.Refuse(job.id, wait))
+        else:
+            self.actions.append(api.Fail(job.id))
+
+    def _uncount(self, now: float, job: Job) -> None:
+        """Units that were counted but not sent on are given back; where many share a count, as its debt."""
+        customer = job.customer
+        if job.counted and not (customer.thin and customer.elsewhere.told_at == now):
+            customer.unreported -= job.units
+            self.untold[customer.key] = customer
+        job.counted = False
+
+    def _ended(self, now: float, event: api.AttemptEnded) -> None:
+        job, server = self.out.pop((event.id, event.attempt), (None, None))
+        if job is None or server is None:
+            return
+        customer = job.customer
+        customer.open -= 1
+        sent = server.out.pop((event.id, event.attempt), now)
+        job.out.pop(event.attempt, None)
+        self.fleet.wait(now)
+        self.fleet.held.pop((event.id, event.attempt), None)
+        if event.outcome.never_ran:
+            job.maybe.remove((server, sent))
+        if event.outcome is api.Outcome.OK:
+            server.failures, server.unreachable = 0, False
+            server.answered(now, event.latency, self.fleet.mean(job.cls), job.cls.aim)
+            self.fleet.note_done(now, job.cls, event.latency)
+            if event.settled and job.inside:
+                customer.settle(event.settled - job.units)
+                self.untold[customer.key] = customer
+        elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
+            if event.outcome is api.Outcome.TIMEOUT:
+                server.answered(now, max(event.latency, job.cls.aim), self.fleet.mean(job.cls), job.cls.aim)
+            server.failed(now, event.outcome, self.fleet.patience)
+        if event.finished or job.over:
+            job.over = True
+            self.jobs.pop(job.id, None)
+        elif not job.out:
+            self._again(now, job)
+
+    def _again(self, now: float, job: Job) -> None:
+        """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room."""
+        useful = now + self.fleet.mean(job.cls) < job.deadline and self.retries.level >= 1
+        if useful and self.fleet.pressure(now) < 0 and self._send(now, job):
+            self.retries.take(1.0)
+        else:
+            self._finish(now, job)
+
+    # What is known of others
+
+    def _ask(self, now: float, customer: Customer, job: Job | None = None) -> bool:
+        """Adds this gateway's use to the customer's count and asks for the total; False: not now.
+
+        Danger: two gateways that ask at once are told of the same room.  The units of a request that
+        waits for the answer are counted with the call, so that the later call sees the earlier one.
+        """
+        if not self.counting or customer.asked_at > -1e17 or (job and self.rng.random() >= self.ask_share):
+            return False
+        if job is not None:
+            job.counted = True
+            # Each question stands for those like it that were sent unasked.
+            unasked = customer.thin and self._pays(job.plan)
+            customer.unreported += job.units / (self.ask_share if unasked else 1.0)
+        offset = customer.hash % 1000 / 1000
+        index = int(now / EPOCH + offset)
+        name = customer.hash << 24 | index & 0xFFFFFF
+        if name != customer.name:
+            customer.name, customer.name_start = name, (index - offset) * EPOCH
+            customer.mine = customer.others = 0.0
+        customer.asked_at = now
+        self.untold.pop(customer.key, None)
+        self.asked[name] = customer, customer.unreported
+        self.actions.append(api.Count(name, round(customer.unreported, 3), 2 * EPOCH))
+        return True
+
+    def _counted(self, now: float, event: api.CounterReply) -> None:
+        customer, added = self.asked.pop(event.name, (None, 0.0))
+        if customer is None:
+            return
+        customer.asked_at = -1e18
+        if event.outcome is not api.Outcome.OK:
+            # Danger: hundreds of gateways that ask more than a counter can take get no answer at all, and
+            # each question holds a request.  Each asks less when it fails and more when it is quick.
+            self.ask_share = max(LEAST_ASKED, self.ask_share * (1 - ASK_LESS))
+            if event.outcome is api.Outcome.TIMEOUT:  # added, most likely: a late call is still worked on
+                customer.unreported -= added
+                customer.mine += added
+        else:
+            self.answered_at = now
+            if event.latency < QUICK * self.settings.counter_timeout:
+                self.ask_share = min(1.0, self.ask_share + ASK_LESS / 8)
+            customer.unreported -= added
+            customer.mine += added
+            others, known = event.total - customer.mine, customer.elsewhere
+            plan, first = customer.plan, known.told_at < -1e17
+            used = event.total + customer.unreported - sum(job.units for job in customer.held)
+            level = plan.burst + plan.rate * (now - customer.name_start) - used
+            if first or customer.thin or others < customer.others - 0.01:  # at last: the count was lost
+                since = customer.name_start if first else known.told_at
+                known.rate = max(0.0, others - customer.others) / max(now - since, known.life)
+                known.reset(now, level)
+            else:
+                known.told(now, others - customer.others)
+            for job in customer.held:
+                inside = known.level(now) >= job.units
+                self.odds[plan.name] += SMOOTH / 4 * (inside - self.odds[plan.name])
+            customer.others = max(others, 0.0)
+            # Danger: a count knows no ends, so idle time would add up to credit, and what is refused or sent
+            # beyond the quota to debt.  It is put right at once, so that few do it twice.
+            slack = (1 - self.ask_share + EXACT) * plan.burst
+            if customer.thin and not -slack / 2 < level < plan.burst + 2 * slack:
+                customer.unreported += level - (plan.burst if level > 0 else 0.0)
+                self._ask(now, customer)
+        held, customer.held = customer.held, []
+        for job in held:
+            self._decide(now, job)
+
+    def _tick(self, now: float) -> None:
+        self.actions.append(api.SetTimer(self.period, TICK))
+        if now - self.swept > IDLE:
+            self.swept = now
+            for name in [k for k, c in self.customers.items() if c.idle(now)]:
+                self.by_hash.pop(self.customers.pop(name).hash, None)
+        for customer in list(self.untold.values()) if self.counting else ():
+            if abs(customer.unreported) > customer.plan.burst / 8:
+                self._ask(now, customer)
+        if not self.counting and self.settings.peers:
+            text = str(self.life)
+            for customer in sorted(self.customers.values(), key=lambda c: -abs(c.unreported)):
+                row = f" {customer.hash:x}:{round(customer.used * 10)}"
+                if not customer.unreported or len(text) + len(row) > 250:
+                    break
+                text += row
+                customer.unreported = 0.0
+            self.actions.append(api.TellPeers(text))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,72 @@
+"""Shared helpers: a small deployment and a gateway to play events to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Any
+
+from mulleinhall.interface import (
+    Action,
+    AttemptEnded,
+    Backend,
+    BackendsChanged,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Plan,
+    Refuse,
+    Request,
+    RequestClass,
+    Scope,
+    Semantics,
+    Send,
+    Settings,
+)
+from mulleinhall.logic import Gateway
+
+SAFE = RequestClass("read", aim=1.0, deadline=4.0)
+KEYED = RequestClass("order", aim=1.0, deadline=4.0, semantics=Semantics.KEYED, window=3.0)
+UNSAFE = RequestClass("pay", aim=1.0, deadline=4.0, semantics=Semantics.UNSAFE)
+BASIC = Plan("basic", rate=2.0, burst=8.0, over_cost=0.5)
+SETTINGS = Settings(classes=(SAFE, KEYED, UNSAFE), plans=(BASIC,), gateways=2, cold_time=10.0, cold_share=0.2,
+                    fall_factor=2.0, fall_time=1.0, max_attempts=4, drain_grace=1.0)
+FLEET = tuple(Backend(f"b{n}", zone="ab"[n % 2], cell=n // 2) for n in range(4))
+
+
+class Play:
+    """A gateway under test, with a clock and what it has done so far."""
+
+    def __init__(self, settings: Settings = SETTINGS, fleet: Iterable[Backend] = FLEET) -> None:
+        self.now, self.gateway, self.count = 100.0, Gateway(settings, 1), 0
+        self.actions: list[Action] = []
+        self.at(0.0, BackendsChanged(ListKind.RESTORED, tuple(fleet)))
+
+    def at(self, after: float, event: Event) -> list[Action]:
+        self.now += after
+        done = self.gateway.handle(self.now, event)
+        self.actions += done
+        return done
+
+    def ask(self, after: float = 0.0, **changes: Any) -> list[Action]:
+        self.count += 1
+        event = Request(f"r{self.count}", "read", "basic", "c", 4.0, spread=2)
+        return self.at(after, replace(event, **changes))
+
+    def end(self, send: Send, outcome: Outcome = Outcome.OK, after: float = 0.05, attempt: int = 0,
+            **more: Any) -> list[Action]:
+        more.setdefault("finished", outcome is Outcome.OK)
+        return self.at(after, AttemptEnded(send.id, attempt, send.backend, outcome, after, **more))
+
+
+def sends(actions: Iterable[Action]) -> list[Send]:
+    return [a for a in actions if isinstance(a, Send)]
+
+
+def finals(actions: Iterable[Action]) -> list[Action]:
+    return [a for a in actions if isinstance(a, Refuse | Fail)]
+
+
+def scoped(scope: Scope) -> RequestClass:
+    return replace(KEYED, scope=scope)
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,163 @@
+"""How backends are chosen and how much each is given.  Each test stands for a failure seen."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from mulleinhall.interface import Backend, BackendsChanged, ListKind, Outcome, Request
+from mulleinhall.logic import BUSY, Gateway, Server
+
+from .conftest import BASIC, FLEET, SETTINGS, Play, sends
+
+WIDE = replace(SETTINGS, plans=(replace(BASIC, rate=1e6, burst=1e6),))
+
+
+def carry(play: Play, latency: float, rounds: int = 200) -> dict[str, int]:
+    """Sends `rounds` requests one by one, each answered after `latency`; how many each backend got."""
+    got: dict[str, int] = {}
+    for _ in range(rounds):
+        for sent in sends(play.ask(0.01)):
+            got[sent.backend] = got.get(sent.backend, 0) + 1
+            play.end(sent, Outcome.OK, latency)
+    return got
+
+
+def test_the_first_seconds_do_not_fill_the_backends() -> None:
+    play = Play(WIDE)
+    for _ in range(100):
+        play.ask(0.0)
+    assert len(sends(play.actions)) <= len(FLEET)
+    for sent in sends(list(play.actions)):
+        play.end(sent, Outcome.OK, 0.01)
+    assert len(sends([a for _ in range(100) for a in play.ask(0.0)])) > len(FLEET) / 2
+
+
+def test_what_is_out_too_long_shrinks_a_limit_without_any_answer() -> None:
+    play = Play(WIDE)
+    carry(play, 0.05)
+    for server in play.gateway.fleet.servers.values():
+        server.limit = 20.0
+    for _ in range(40):
+        play.ask(0.0)
+    before = sum(s.limit for s in play.gateway.fleet.servers.values())
+    for _ in range(20):
+        play.ask(0.5)
+    assert sum(s.limit for s in play.gateway.fleet.servers.values()) < before / 2
+
+
+def test_backends_that_refuse_connections_stay_out_even_when_they_are_most() -> None:
+    play = Play(WIDE)
+    carry(play, 0.05)
+    for server in list(play.gateway.fleet.servers.values())[:3]:
+        server.failed(play.now, Outcome.CONNECT_FAILED, 1.0)
+    assert set(carry(play, 0.001, 20)) == {"b3"}
+
+
+def test_errors_everywhere_leave_all_backends_in_use() -> None:
+    play = Play(WIDE)
+    carry(play, 0.05)
+    for server in play.gateway.fleet.servers.values():
+        for _ in range(3):
+            server.failed(play.now, Outcome.ERROR, 1.0)
+    assert len(carry(play, 0.05, 20)) > 1
+
+
+def test_one_error_does_not_eject() -> None:
+    server = Server(FLEET[0], 100.0)
+    server.failed(100.0, Outcome.ERROR, 1.0)
+    assert not server.ejected(100.0)
+    server.failed(100.0, Outcome.CONNECT_FAILED, 1.0)
+    assert server.ejected(100.0) and not server.ejected(120.0)
+
+
+def test_a_silent_backend_gets_nothing_new() -> None:
+    play = Play(WIDE)
+    carry(play, 0.05)
+    stuck = sends(play.ask(0.0))[0].backend
+    play.now += 0.5
+    assert stuck not in carry(play, 0.01, 40)
+
+
+def test_a_slow_backend_gets_less() -> None:
+    play = Play(WIDE)
+    got: dict[str, int] = {}
+    for _ in range(300):
+        for sent in sends(play.ask(0.02)):
+            got[sent.backend] = got.get(sent.backend, 0) + 1
+            play.end(sent, Outcome.OK, 0.3 if sent.backend == "b1" else 0.05)
+    assert got["b1"] < min(got[b] for b in ("b0", "b2", "b3")) / 2
+
+
+def test_attempts_that_stay_out_shed_the_least_worth_before_any_answer_comes() -> None:
+    play = Play(replace(SETTINGS, gateways=300, plans=(replace(BASIC, rate=1e4, burst=1e5),)),
+                (Backend(f"b{n}") for n in range(80)))
+    sent = sum(len(sends(play.ask(0.3))) for _ in range(40))
+    assert sent < 30  # none was answered: what is out tells of the jam, though no backend holds two
+    play.now += 30.0
+    assert sends(play.ask())  # it is tried again
+
+
+def test_a_few_backends_that_never_answer_are_no_jam() -> None:
+    play = Play(replace(SETTINGS, gateways=300, plans=(replace(BASIC, rate=1e4, burst=1e5),)),
+                (Backend(f"b{n}") for n in range(80)))
+    passed = 0
+    for _ in range(200):
+        for sent in sends(play.ask(0.2)):
+            passed += 1
+            if int(sent.backend[1:]) >= 8:
+                play.end(sent, Outcome.OK, 0.1)
+    assert passed > 180
+
+
+def test_idle_backends_are_chosen_by_size_not_all_the_largest() -> None:
+    fleet = [Backend(f"b{n}", weight=2.0 if n < 10 else 1.0) for n in range(40)]
+    chosen = []
+    for seed in range(400):
+        gateway = Gateway(replace(SETTINGS, gateways=400, number=seed), seed)
+        gateway.handle(1.0, BackendsChanged(ListKind.RESTORED, tuple(fleet)))
+        actions = gateway.handle(1.1, Request("r", "read", "basic", "c", 4.0))
+        chosen += [int(s.backend[1:]) for s in sends(actions)]
+    assert len(set(chosen)) == len(fleet)
+    assert 0.3 < sum(n < 10 for n in chosen) / len(chosen) < 0.5  # 20 of 50 by size
+
+
+def test_full_from_a_quick_backend_is_about_the_request() -> None:
+    server = Server(FLEET[0], 0.0)
+    server.wait, server.limit = BUSY / 2, 8.0
+    server.failed(1.0, Outcome.FULL, 1.0)
+    assert server.limit == 8.0 and not server.ejected(1.0)
+    server.wait = BUSY * 2
+    server.failed(1.0, Outcome.FULL, 1.0)
+    assert server.limit < 8.0 and server.ejected(1.0)
+
+
+def test_an_empty_zone_is_no_reason_to_refuse() -> None:
+    play = Play(replace(WIDE, zone="c"), fleet=(Backend("x", "a"),))
+    assert sends(play.ask())
+
+
+def test_each_gateway_keeps_to_a_subset_and_all_together_cover_the_fleet_evenly() -> None:
+    fleet = tuple(Backend(f"10.0.0.{n}:9000", zone="ab"[n % 2]) for n in range(60))
+    users = dict.fromkeys((b.id for b in fleet), 0)
+    for number in range(300):
+        gateway = Gateway(replace(SETTINGS, gateways=300, number=number), 1)
+        gateway.handle(1.0, BackendsChanged(ListKind.RESTORED, fleet))
+        near = [s.info.id for s in gateway.fleet.near]
+        assert len(near) == 12
+        gateway.handle(2.0, BackendsChanged(ListKind.REPLACE, fleet[1:]))
+        assert len({s.info.id for s in gateway.fleet.near} - set(near)) <= 1  # one goes, at most one is new
+        for name in near:
+            users[name] += 1
+    assert min(users.values()) > 30  # 60 on the mean
+    assert max(users.values()) < 90
+
+
+def test_beyond_a_sick_subset_the_rest_of_the_fleet_is_used() -> None:
+    play = Play(WIDE, (Backend(f"b{n}") for n in range(40)))
+    near = list(play.gateway.fleet.near)
+    for server in near:
+        server.failed(play.now, Outcome.CONNECT_FAILED, 60.0)
+        server.out["other", 0] = play.now  # each is being tried again
+    sent = sends(play.ask(0.01))
+    assert sent
+    assert sent[0].backend not in {s.info.id for s in near}
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,266 @@
+"""The sliced bucket, and what is known of the customer's use elsewhere."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from zlib import crc32
+
+import pytest
+
+from mulleinhall.interface import (
+    Count,
+    CounterReply,
+    Outcome,
+    PeerMessage,
+    Plan,
+    Refuse,
+    TellPeers,
+    Timer,
+)
+from mulleinhall.logic import LEAST_ASKED, Elsewhere
+
+from .conftest import BASIC, SETTINGS, Play, sends
+
+COUNTING = replace(SETTINGS, counter=True, counter_timeout=0.05)
+PEERS = replace(SETTINGS, peers=True, peer_rate=100.0)
+
+
+def spend(play: Play, times: int, **changes: object) -> int:
+    """How many of `times` requests at one moment are sent on; each is answered at once."""
+    passed = 0
+    for _ in range(times):
+        done = sends(play.ask(0.0, **changes))
+        passed += len(done)
+        for sent in done:
+            play.end(sent, Outcome.OK, 0.0)
+    return passed
+
+
+def counts(play: Play) -> list[Count]:
+    return [a for a in play.actions if isinstance(a, Count)]
+
+
+def test_a_slice_holds_its_part_of_the_burst_and_refuses_the_rest_at_once() -> None:
+    play = Play()
+    assert spend(play, 10) == 4  # burst 8 over two gateways
+    refused = play.ask()[-1]
+    assert refused == Refuse(f"r{play.count}", 0.5)  # one unit at rate 2: it may come to any gateway
+    play.now += 2.0
+    assert spend(play, 10) == 2
+
+
+def test_a_request_larger_than_the_slice_fits_a_full_one() -> None:
+    play = Play()
+    assert len(sends(play.ask(units=6.0))) == 0  # the slice holds 4
+    play.now += 2.0
+    assert len(sends(play.ask(units=6.0))) == 1
+
+
+def test_guessed_units_are_settled_by_the_answer() -> None:
+    play = Play()
+    sent = sends(play.ask(units=1.0))[0]
+    play.end(sent, Outcome.OK, 0.0, settled=4.0)
+    assert spend(play, 10) == 0
+    play.now += 1.0
+    assert spend(play, 10) == 1
+
+
+def test_plans_without_rate_know_only_their_cap_on_open_attempts() -> None:
+    play = Play(replace(SETTINGS, plans=(Plan("basic", open_limit=4),)))
+    assert sum(len(sends(play.ask())) for _ in range(5)) == 2  # cap 4 over two gateways
+
+
+def test_idle_full_customers_are_forgotten() -> None:
+    play = Play()
+    for n in range(50):
+        play.ask(customer=f"c{n}")
+    for sent in sends(list(play.actions)):
+        play.end(sent, Outcome.OK, 0.0)
+    play.at(61.0, Timer(0))
+    assert not play.gateway.customers and not play.gateway.by_hash
+
+
+def test_a_short_slice_asks_the_counter_and_lends_what_is_idle_elsewhere() -> None:
+    play = Play(COUNTING)
+    passed = spend(play, 1)
+    while not play.gateway.customers["c"].held:
+        passed += spend(play, 1)
+        for call in counts(play):
+            if call.name in play.gateway.asked and not play.gateway.customers["c"].held:
+                play.at(0.001, CounterReply(call.name, Outcome.OK, float(passed)))
+        assert passed < 20
+    held = play.gateway.customers["c"].held[0].id
+    call = counts(play)[-1]
+    assert call.add >= 1.0  # the units of the request that waits are counted with the call
+    answer = play.at(0.001, CounterReply(call.name, Outcome.OK, float(passed + 1)))
+    assert [s.id for s in sends(answer)] == [held]
+
+
+def reply(play: Play, outcome: Outcome, total: float = 0.0) -> int:
+    """Answers the calls that are out; how many they were."""
+    waiting = list(play.gateway.asked)
+    for name in waiting:
+        for sent in sends(play.at(0.0, CounterReply(name, outcome, total, 0.001))):
+            play.end(sent, Outcome.OK, 0.0)
+    return len(waiting)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.TIMEOUT])
+def test_a_counter_that_fails_is_asked_less_and_again_when_it_is_back(outcome: Outcome) -> None:
+    play = Play(replace(COUNTING, gateways=200))
+    calls = 0
+    for n in range(300):
+        play.ask(0.02, customer=f"c{n}", spread=100)
+        calls += reply(play, outcome)
+    assert 10 < calls < 100
+    assert play.gateway.ask_share == pytest.approx(LEAST_ASKED)
+    calls = 0
+    for n in range(200):
+        play.ask(0.02, customer=f"d{n}", spread=100)
+        calls += reply(play, Outcome.OK, 1.0)
+    assert calls > 100
+
+
+def test_a_counter_that_fails_leaves_the_plain_slice() -> None:
+    play = Play(COUNTING)
+    play.gateway.born = 0.0  # an old process: its slice starts full
+    play.gateway.ask_share = 0.0
+    assert spend(play, 12) == 4
+
+
+THIN = replace(COUNTING, gateways=200)
+
+
+def test_a_thin_slice_asks_and_follows_the_count() -> None:
+    for total, passes in ((1.0, True), (9.0, False)):  # burst 8, this request's unit among them
+        play = Play(THIN)
+        play.gateway.ask_share = 1.0
+        play.now = 30.0 * 3 - 30.0 * (crc32(b"c") % 1000 / 1000)  # its count has just begun
+        assert not sends(play.ask(spread=100))
+        answer = play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, total, 0.001))
+        assert bool(sends(answer)) is passes
+
+
+@pytest.mark.parametrize(("total", "right"), [(-40.0, 0.0), (30.0, 8.0)])
+def test_a_count_beyond_its_ends_is_put_right_at_once(total: float, right: float) -> None:
+    play = Play(THIN)
+    play.gateway.ask_share = 1.0
+    play.now = 30.0 * 3 - 30.0 * (crc32(b"c") % 1000 / 1000)
+    play.ask(spread=100)
+    answer = play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, total, 0.001))
+    mended = [a for a in answer if isinstance(a, Count)]
+    assert len(mended) == 1
+    assert total + mended[0].add == pytest.approx(right, abs=1.1)  # the store full, or empty
+
+
+def test_what_a_crowded_counter_cannot_be_asked_is_sent_where_that_pays() -> None:
+    for cost, passes in ((0.5, True), (1.5, False)):
+        play = Play(replace(THIN, plans=(replace(BASIC, over_cost=cost),)))
+        play.gateway.ask_share, play.gateway.answered_at = 0.0, play.now
+        assert bool(sends(play.ask(spread=100))) is passes
+        play.now += 20.0  # it has not answered for long: it is down, not crowded
+        assert not sends(play.ask(spread=100))
+
+
+def test_use_is_told_each_quarter_second_however_many_gateways() -> None:
+    assert Play(THIN).gateway.period == 0.25
+
+
+def test_a_marked_repeat_too_late_for_its_aim_is_refused() -> None:
+    play = Play()
+    assert sends(play.ask(time_left=4.0))
+    assert sends(play.ask(time_left=3.7, repeat=True))
+    assert not sends(play.ask(time_left=2.5, repeat=True))  # 1.5 s gone, aim 1 s
+
+
+def test_a_customer_far_beyond_its_quota_does_not_ask_for_each_request() -> None:
+    play = Play(COUNTING)
+    total = 0.0
+    for _ in range(1000):
+        done = play.ask(0.01)
+        for sent in sends(done):
+            play.end(sent, Outcome.OK, 0.001)
+        for call in [a for a in done if isinstance(a, Count)]:
+            total += call.add
+            for sent in sends(play.at(0.001, CounterReply(call.name, Outcome.OK, total))):
+                play.end(sent, Outcome.OK, 0.001)
+    assert len(counts(play)) < 12 * BASIC.rate * 3
+
+
+def test_peers_tell_what_they_used_and_what_they_left_idle() -> None:
+    sender, other = Play(PEERS), Play(replace(PEERS, number=1))
+    other.at(0.0, PeerMessage(0, "1"))
+    spend(sender, 4)
+    sender.at(0.25, Timer(0))
+    told = [a for a in sender.actions if isinstance(a, TellPeers)][-1]
+    assert len(told.text.encode()) <= 256
+    assert spend(other, 1) == 1
+    other.at(0.25, PeerMessage(0, told.text))
+    assert 0 < spend(other, 20) <= 4  # burst 8, of which 4 were used there and 1 here
+
+
+@pytest.mark.parametrize("text", ["", "x", "1 zz", "1 a:b:c", "1 a:", "\x00\u20ac", "1 " + "f" * 250])
+def test_garbled_messages_are_ignored(text: str) -> None:
+    play = Play(PEERS)
+    assert play.at(0.0, PeerMessage(1, text)) == []
+
+
+def test_silent_peers_leave_the_plain_slice() -> None:
+    play = Play(PEERS)
+    play.at(0.0, PeerMessage(1, "1"))
+    play.now += 5.0
+    assert spend(play, 20) == 4
+
+
+def test_a_message_told_twice_or_from_an_earlier_life_counts_once() -> None:
+    play = Play(PEERS)
+    spend(play, 1)
+    peers, key = play.gateway.peers, play.gateway.customers["c"].hash
+    assert peers.read(PeerMessage(1, f"5 {key:x}:10"), 100.0, 6) == []  # older than this process
+    assert peers.read(PeerMessage(1, f"5 {key:x}:30"), 100.0, 6) == [(key, 2.0)]
+    assert peers.read(PeerMessage(1, f"5 {key:x}:30"), 100.0, 6) == []
+    assert peers.read(PeerMessage(1, f"4 {key:x}:90"), 100.0, 6) == []
+    assert peers.read(PeerMessage(1, f"6 {key:x}:10"), 100.0, 6) == [(key, 1.0)]
+
+
+def test_the_past_of_a_peer_is_not_use_just_now_to_a_fresh_process() -> None:
+    peers = Play(PEERS).gateway.peers
+    assert peers.read(PeerMessage(1, "5 a:10"), 100.0, 9) == []
+    assert peers.read(PeerMessage(1, "5 b:9000"), 100.0, 9) == []  # another customer, a later message
+    assert peers.read(PeerMessage(1, "5 b:9010"), 100.0, 9) == [(11, 1.0)]
+
+
+def test_idle_time_is_not_lost_when_others_use_is_told_late() -> None:
+    known = Elsewhere(BASIC, 100.0, False)  # rate 2, burst 8
+    known.reset(100.0, 8.0)
+    known.told(130.0, 10.0)  # 10 units over 30 s, in which the store took in 60
+    assert known.level(130.0) == pytest.approx(8.0)
+
+
+def test_the_first_total_holds_the_units_of_the_request_that_waits() -> None:
+    play = Play(replace(COUNTING, plans=(replace(BASIC, rate=0.001, burst=1.0),)))
+    play.ask()
+    call = counts(play)[-1]
+    assert len(sends(play.at(0.001, CounterReply(call.name, Outcome.OK, 1.0)))) == 1
+
+
+def test_peers_falling_silent_leave_the_own_slice_to_a_customer_near_its_quota() -> None:
+    play = Play(PEERS)
+    for tick in range(40):  # the sibling uses nearly all of the quota, then says no more
+        play.at(0.25, PeerMessage(1, f"200000 {crc32(b'c'):x}:{tick * 5}"))
+        spend(play, 1)
+    play.now += 8.0
+    assert spend(play, 10) == 4
+
+
+@pytest.mark.parametrize(("gateways", "spread", "first"),
+                         [(1, 1, 0), (1000, 1, 999), (1000, 1000, 0), (1000, 700, 900)])
+def test_any_number_of_gateways_and_a_set_that_wraps_around_asks_and_follows_the_count(
+        gateways: int, spread: int, first: int) -> None:
+    play = Play(replace(COUNTING, gateways=gateways))
+    play.gateway.ask_share = 1.0
+    assert not sends(play.ask(spread=spread, first=first))
+    numbers = play.gateway.customers["c"].siblings(play.gateway.settings)
+    assert len(set(numbers) | {0}) in (spread, spread + 1)
+    assert all(0 <= n < gateways for n in numbers)
+    assert sends(play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, 1.0, 0.001)))
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,233 @@
+"""The five rules, each kept by one gateway alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from mulleinhall.interface import (
+    Abandoned,
+    AttemptEnded,
+    Backend,
+    BackendsChanged,
+    ListKind,
+    Outcome,
+    Plan,
+    Readiness,
+    Refuse,
+    Request,
+    RequestClass,
+    Scope,
+    Semantics,
+    SetTimer,
+    Subscribe,
+    Timer,
+)
+from mulleinhall.logic import Gateway, Job, Server
+
+from .conftest import BASIC, FLEET, KEYED, SAFE, SETTINGS, UNSAFE, Play, finals, scoped, sends
+
+OUTCOMES = tuple(Outcome)
+UNPROVEN = tuple(o for o in OUTCOMES if not o.never_ran)
+
+
+def job_after(cls: RequestClass, outcome: Outcome | None) -> Job:
+    """A request whose one attempt, to b0 (zone a, cell 0), ended so, or is out for None."""
+    play = Play(replace(SETTINGS, classes=(cls,)))
+    sent = sends(play.ask(request_class=cls.name))[0]
+    job = play.gateway.jobs["r1"]
+    number_one = Server(FLEET[0], play.now)
+    job.tries = [(number_one, play.now)]
+    job.maybe = [] if outcome is not None and outcome.never_ran else [(number_one, play.now)]
+    if outcome is not None:
+        job.out.clear()
+    assert sent.id == "r1"
+    return job
+
+
+@pytest.mark.parametrize("outcome", [*OUTCOMES, None])
+@pytest.mark.parametrize("cls", [SAFE, scoped(Scope.ALL), scoped(Scope.ZONE), scoped(Scope.CELL), UNSAFE],
+                         ids=["safe", "all", "zone", "cell", "unsafe"])
+def test_one_table_says_what_may_be_sent_or_refused(cls: RequestClass, outcome: Outcome | None) -> None:
+    job = job_after(cls, outcome)
+    proven = outcome is not None and outcome.never_ran
+    settings = replace(SETTINGS, second_copies=True)
+    allowed = {b.id for b in FLEET if job.may_send(Server(b, 100.0), 100.5, settings)}
+    everything = {b.id for b in FLEET}
+    if proven or cls.semantics is Semantics.SAFE:
+        expected = everything
+    elif cls.semantics is Semantics.UNSAFE:
+        expected = set()
+    else:
+        expected = {Scope.ALL: everything, Scope.ZONE: {"b0", "b2"}, Scope.CELL: {"b0", "b1"}}[cls.scope]
+    assert allowed == expected
+    assert job.may_refuse() == (proven or cls.semantics is Semantics.SAFE)
+
+
+def test_keyed_is_not_sent_again_after_its_window() -> None:
+    job = job_after(KEYED, Outcome.TIMEOUT)
+    server = Server(FLEET[0], 100.0)
+    assert job.may_send(server, 100.0 + KEYED.window - 0.1, SETTINGS)
+    assert not job.may_send(server, 100.0 + KEYED.window, SETTINGS)
+
+
+def test_no_second_copy_where_it_is_not_allowed() -> None:
+    assert not job_after(SAFE, None).may_send(Server(FLEET[1], 100.0), 100.1, SETTINGS)
+
+
+@pytest.mark.parametrize("outcome", UNPROVEN)
+def test_unsafe_that_may_have_run_fails_and_is_never_refused(outcome: Outcome) -> None:
+    play = Play()
+    sent = sends(play.ask(request_class="pay"))[0]
+    after = play.end(sent, outcome, finished=outcome is Outcome.OK)
+    assert not sends(after)
+    assert not any(isinstance(a, Refuse) for a in after)
+
+
+def test_every_request_has_one_answer_when_all_attempts_fail() -> None:
+    play = Play(replace(SETTINGS, plans=(replace(BASIC, rate=1000.0, burst=1000.0),)))
+    for n in range(60):
+        attempt, sent = 0, sends(play.ask(0.2, request_class=("read", "order", "pay")[n % 3]))
+        while sent:
+            sent = sends(play.end(sent[0], Outcome.RESET, 0.01, attempt=attempt))
+            attempt += 1
+    answered = [getattr(a, "id", "") for a in finals(play.actions)]
+    assert sorted(answered) == sorted({f"r{n}" for n in range(1, 61)})
+    assert not play.gateway.jobs
+
+
+def test_the_timeout_at_the_deadline_brings_the_final_answer() -> None:
+    play = Play()
+    sent = sends(play.ask(time_left=2.0))[0]
+    assert sent.timeout == pytest.approx(2.0)
+    assert len(finals(play.end(sent, Outcome.TIMEOUT, 2.0))) == 1
+
+
+def test_nothing_goes_out_for_a_request_that_is_over() -> None:
+    play = Play()
+    sent = sends(play.ask())[0]
+    assert play.at(0.1, Abandoned("r1")) == []
+    assert play.at(0.1, Abandoned("r1")) == []
+    assert play.end(sent, Outcome.CONNECT_FAILED) == []
+    assert play.at(0.0, AttemptEnded("unknown", 0, "b0", Outcome.OK)) == []
+
+
+@pytest.mark.parametrize("readiness", [Readiness.DRAINING, Readiness.GONE])
+def test_a_leaving_backend_gets_nothing_from_the_same_moment_on(readiness: Readiness) -> None:
+    play = Play()
+    leaving = tuple(replace(b, readiness=readiness) for b in FLEET[:3])
+    play.at(0.0, BackendsChanged(ListKind.UPDATE, leaving))
+    targets = {s.backend for _ in range(12) for s in sends(play.ask(0.5))}
+    assert targets == {"b3"}
+
+
+def test_a_backend_missing_from_a_full_list_is_gone_and_one_back_is_used() -> None:
+    play = Play()
+    play.at(0.0, BackendsChanged(ListKind.REPLACE, FLEET[:1]))
+    assert {s.backend for _ in range(6) for s in sends(play.ask(0.5))} == {"b0"}
+    play.at(0.0, BackendsChanged(ListKind.REPLACE, FLEET[1:2]))
+    assert {s.backend for s in sends(play.ask(0.5))} == {"b1"}
+
+
+def test_an_empty_list_refuses_at_once() -> None:
+    play = Play(fleet=())
+    assert isinstance(play.ask()[-1], Refuse)
+
+
+def cold_sends(play: Play, seconds: float, every: float) -> list[float]:
+    times = []
+    while seconds > 0:
+        for sent in sends(play.ask(every, customer=f"c{play.count % 200}")):
+            if sent.backend == "cold":
+                times.append(play.now)
+            play.end(sent, Outcome.OK, 0.001)
+        seconds -= every
+    return times
+
+
+def test_a_cold_backend_gets_a_part_of_what_a_warm_one_carries() -> None:
+    play = Play()
+    cold_sends(play, 30.0, 0.05)
+    warm_rate = 20.0 / len(FLEET)
+    play.at(0.0, BackendsChanged(ListKind.UPDATE, (Backend("cold", "a", started=play.now),)))
+    first = cold_sends(play, SETTINGS.fall_time * 2, 0.05)
+    # This gateway may bring cold_share x fall_factor of what a warm backend carries from here.
+    bears = warm_rate * (SETTINGS.cold_share + 0.16) * SETTINGS.fall_factor * SETTINGS.fall_time * 2
+    assert 0 < len(first) <= bears + 1
+
+
+def test_a_fresh_gateway_with_all_backends_cold_sends_little_but_something() -> None:
+    play = Play(fleet=(Backend("cold", "a", started=100.0),))
+    times = cold_sends(play, 6.0, 0.02)
+    assert 1 <= len(times) <= 6 * SETTINGS.fall_factor * SETTINGS.cold_share
+
+
+CAPPED = Plan("basic", rate=2.0, burst=4.0, ceiling_rate=4.0, ceiling_burst=8.0, ceiling_slack=1.0)
+
+
+def test_the_ceiling_slice_is_empty_in_a_fresh_process_and_never_passed() -> None:
+    play = Play(replace(SETTINGS, plans=(CAPPED,)))
+    passed = 0
+    for _ in range(200):
+        done = sends(play.ask(0.02))
+        passed += len(done)
+        for sent in done:
+            play.end(sent, Outcome.OK, 0.001)
+    assert passed <= CAPPED.ceiling_rate / 2 * (play.now - 100.0)
+
+
+def test_other_gateways_or_a_long_pause_do_not_fill_a_ceiling_anew() -> None:
+    slow = replace(CAPPED, rate=100.0, burst=100.0, ceiling_rate=0.02, ceiling_burst=8.0)
+    play = Play(replace(SETTINGS, plans=(slow,)))
+    play.now += 10000.0
+    passed = 0
+    for n in range(300):
+        if n % 20 == 0:
+            play.at(65.0 if n == 100 else 0.0, Timer(0))
+        done = sends(play.ask(0.0, spread=2 + n % 2))
+        passed += len(done)
+        for sent in done:
+            play.end(sent, Outcome.OK, 0.001)
+    assert passed <= 8.0 / 2 + 0.02 * 100
+
+
+def test_failed_calls_to_the_list_do_not_multiply() -> None:
+    play = Play(replace(SETTINGS, ask_discovery=True, ask_within=10.0))
+    assert sum(isinstance(a, Subscribe) for a in play.actions) == 1
+    for _ in range(10):
+        play.at(0.01, BackendsChanged(ListKind.UNAVAILABLE))
+    assert sum(isinstance(a, SetTimer) and a.token == 1 for a in play.actions) == 1
+    play.at(3.0, Timer(1))
+    assert sum(isinstance(a, Subscribe) for a in play.actions) == 2
+    assert sends(play.ask())  # the old list still applies
+
+
+def test_a_cold_budget_counts_work() -> None:
+    play = Play()
+    fleet = play.gateway.fleet
+    fleet.means = {"read": 0.1, "order": 0.1, "pay": 0.4}
+    assert sends(play.ask(request_class="pay"))
+    assert fleet.work(play.gateway.jobs["r1"]) == pytest.approx(2.0)
+
+
+def test_hundreds_of_gateways_together_do_not_push_a_cold_backend_over_and_yet_use_it() -> None:
+    many = replace(SETTINGS, gateways=200, cold_time=10.0, plans=(replace(BASIC, rate=1e4, burst=1e5),))
+    fleet = tuple(Backend(f"b{n}") for n in range(20))
+    times: list[float] = []
+    every = 0.5  # s between two requests of a gateway: 400 a second, 20 at each warm backend
+    for number in range(200):
+        gateway, now = Gateway(replace(many, number=number), number), 100.0 + number / 200 * every
+        gateway.handle(now, BackendsChanged(ListKind.RESTORED, fleet))
+        for n in range(70):
+            now += every
+            if n == 50:
+                gateway.handle(now, BackendsChanged(ListKind.UPDATE, (Backend("cold", started=now),)))
+            for sent in sends(gateway.handle(now, Request(f"r{n}", "read", "basic", "c", 4.0))):
+                times += [now] if sent.backend == "cold" else []
+                gateway.handle(now + 0.1, AttemptEnded(sent.id, 0, sent.backend, Outcome.OK, 0.1, True))
+    start = min(times)
+    for n in range(8):
+        got = sum(start + n <= t < start + n + 1 for t in times)
+        share = SETTINGS.cold_share + (1 - SETTINGS.cold_share) * n / 10
+        assert 0 < got < 20 * SETTINGS.fall_factor * share * SETTINGS.fall_time * 1.1
