--- /dev/null
+++ b/tests/test_net_backends.py
@@ -0,0 +1,294 @@
+"""The pool: every outcome of an attempt, re-use of connections, drains and bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from mulleinhall.interface import Backend, Outcome, Readiness
+from mulleinhall.net import backends as module
+from mulleinhall.net.backends import Attempt, Backends
+from mulleinhall.net.clock import unix_clock
+from tests.peers import Address, Peer, Reader, Writer, backend, read_command, run, until, value
+
+PARTS = b"*4\r\n$8\r\nAPI.READ\r\n$2\r\nc7\r\n$2\r\nr1\r\n", b"c=read,d=2000,t=basic,x=9", b"\r\n"
+
+
+class Pool:
+    """A pool under test, and the outcomes it has told."""
+
+    def __init__(self, *addresses: Address, most: int = 8, timeout: float = 0.25, idle: float = 15.0) -> None:
+        self.ends: list[tuple[int, Outcome, bytes | None]] = []
+        self.skipped, clock, self.count = 0.0, unix_clock(), 0
+        self.pool = Backends(most, timeout, idle, 1.0, lambda: clock() + self.skipped, self.ended)
+        self.tell(*((Backend(f"s{n}"), address) for n, address in enumerate(addresses)))
+
+    def tell(self, *rows: tuple[Backend, Address], full: bool = True) -> None:
+        self.pool.change(full, tuple(info for info, _ in rows), {info.id: a for info, a in rows})
+
+    def ended(self, attempt: Attempt, outcome: Outcome, answer: bytes | None, load: dict[str, float]) -> None:
+        self.ends.append((attempt.number, outcome, answer))
+
+    def send(self, name: str = "s0", wait: float = 5.0, parts: tuple[bytes, bytes, bytes] = PARTS) -> Attempt:
+        now = self.pool.clock()
+        attempt = Attempt("r", self.count, name, now, now + wait, parts)
+        self.count += 1
+        self.pool.start(attempt)
+        return attempt
+
+    async def end(self, count: int = 1) -> Any:
+        await until(lambda: len(self.ends) >= count)
+        return self.ends[count - 1][1:]
+
+
+BINARY = bytes(range(256)) * 256
+
+
+@pytest.mark.parametrize(("answer", "outcome", "found"), [
+    (value(b"hello"), Outcome.OK, b"hello"),
+    (value(b""), Outcome.OK, b""),
+    (value(BINARY), Outcome.OK, BINARY),
+    (b"*3\r\n$2\r\nok\r\n$1\r\n4\r\n$10\r\ninflight=7\r\n", Outcome.OK, b"ok"),
+    (b"-ERR failed\r\n", Outcome.ERROR, None),
+    (b"-ERR failed inflight=7,queue=2\r\n", Outcome.ERROR, None),
+    (b"-SYNTAX\r\n", Outcome.ERROR, None),
+    (b"-BUSY\r\n", Outcome.FULL, None),
+    (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome.ERROR, None),
+    (b"*-1\r\n", Outcome.ERROR, None),
+    (b"*0\r\n", Outcome.ERROR, None),
+    (b"$5\r\nhello\r\n", Outcome.ERROR, None),
+    (b"hello\r\n", Outcome.ERROR, None),
+])
+def test_what_an_answer_means(answer: bytes, outcome: Outcome, found: bytes | None) -> None:
+    async def body() -> None:
+        async with backend(answer) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (outcome, found)
+
+    run(body())
+
+
+def test_the_time_is_rewritten_and_all_else_goes_on_unchanged() -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            pool = Pool(peer.address)
+            data = b"$%d\r\n%b\r\n" % (len(BINARY), BINARY)
+            pool.send(wait=1.0, parts=(PARTS[0].replace(b"*4", b"*5"), PARTS[1], b"\r\n" + data))
+            assert await pool.end() == (Outcome.OK, b"r1")
+            [words] = peer.commands
+            names = words[3].split(b",")
+            assert words[:3] == [b"API.READ", b"c7", b"r1"] and words[4] == BINARY
+            assert names[0] == b"c=read" and names[2:] == [b"t=basic", b"x=9"]
+            assert names[1].startswith(b"d=") and 1 <= int(names[1][2:]) <= 1000
+
+    run(body())
+
+
+@pytest.mark.parametrize("partly", [b"", b"*3\r\n$5\r\nhel"])
+def test_a_connection_that_ends_under_an_attempt_is_a_reset(partly: bytes) -> None:
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        await read_command(reader)
+        writer.write(partly)
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (Outcome.RESET, None)
+            assert pool.pool.sockets == 0
+
+    run(body())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def body() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = server.getsockname()
+        pool = Pool(address)
+        pool.send()
+        assert await pool.end() == (Outcome.CONNECT_FAILED, None)
+        pool.send("unknown")
+        assert await pool.end(2) == (Outcome.CONNECT_FAILED, None)
+
+    run(body())
+
+
+@pytest.mark.parametrize("wait", [5.0, 0.05])
+def test_a_connection_that_never_comes_up_never_ran(wait: float) -> None:
+    async def body() -> None:
+        with socket.socket() as server:
+            server.bind(("127.0.0.1", 0))
+            server.listen(0)
+            crowd = [socket.socket() for _ in range(4)]  # the queue is full: further ones hear nothing
+            for sock in crowd:
+                sock.setblocking(False)
+                sock.connect_ex(server.getsockname())
+            pool = Pool(server.getsockname(), timeout=0.1)
+            pool.send(wait=wait)
+            assert await pool.end() == (Outcome.CONNECT_FAILED, None)
+            await until(lambda: pool.pool.sockets == 0)
+            for sock in crowd:
+                sock.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_giving_up_ends_the_connection_before_the_outcome_is_told(cancel: bool) -> None:
+    """Two attempts of a request must not be out together, not even for a turn of the loop."""
+    async def body() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            pool = Pool(server.getsockname())
+            seen: list[bytes] = []
+
+            def ended(attempt: Attempt, outcome: Outcome, answer: bytes | None,
+                      load: dict[str, float]) -> None:
+                pool.ends.append((attempt.number, outcome, answer))
+                seen.append(peer.recv(100))
+
+            pool.pool.ended = ended
+            attempt = pool.send(wait=5.0 if cancel else 0.2)
+            peer, _ = await loop.sock_accept(server)
+            peer.setblocking(False)
+            assert (await loop.sock_recv(peer, 4096)).endswith(b"\r\n")
+            if cancel:
+                pool.pool.cancel(attempt)
+            assert (await pool.end())[0] is (Outcome.CANCELLED if cancel else Outcome.TIMEOUT)
+            assert seen == [b""]
+            peer.close()
+
+    run(body())
+
+
+def test_the_connection_used_last_is_used_again() -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            pool.send()
+            await pool.end(2)
+            latest = pool.pool.targets["s0"].idle[-1]
+            attempt = pool.send()
+            assert attempt.connection is latest
+            await pool.end(3)
+            assert peer.connections == 2 and pool.pool.sockets == 2
+
+    run(body())
+
+
+def test_a_connection_that_the_peer_has_ended_is_not_used() -> None:
+    async def script(number: int, reader: Reader, writer: Writer) -> None:
+        while True:
+            await read_command(reader)
+            writer.write(value(b"%d" % number))
+            if number == 0:
+                return
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (Outcome.OK, b"0")
+            await until(lambda: peer.ended)
+            pool.send()
+            assert await pool.end(2) == (Outcome.OK, b"1")
+
+    run(body())
+
+
+def test_an_answer_that_nothing_asked_for_is_served_to_nobody() -> None:
+    async def body() -> None:
+        async with backend(value(b"one") + value(b"two")) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (Outcome.OK, b"one")
+            assert pool.pool.sockets == 0
+
+    run(body())
+
+
+def test_idle_connections_are_closed_before_the_backend_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "SWEEP", 0.01)
+
+    async def body() -> None:
+        async with backend() as peer:
+            pool = Pool(peer.address, idle=15.0)
+            pool.send()
+            await pool.end()
+            pool.skipped = 8.0
+            await asyncio.sleep(0.05)
+            assert pool.pool.sockets == 1
+            pool.skipped = 10.0
+            await until(lambda: pool.pool.sockets == 0 and peer.ended)
+
+    run(body())
+
+
+@pytest.mark.parametrize("readiness", [Readiness.DRAINING, Readiness.GONE])
+def test_nothing_new_is_written_after_the_grace_of_a_drain(readiness: Readiness) -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            pool = Pool(peer.address)
+            pool.send()  # its connection comes up after the grace has run out
+            pool.tell((Backend("s0", readiness=readiness), peer.address), full=False)
+            pool.skipped = 1.0
+            assert await pool.end() == (Outcome.CONNECT_FAILED, None)
+            pool.send()
+            assert await pool.end(2) == (Outcome.CONNECT_FAILED, None)
+            assert not peer.commands
+            pool.tell((Backend("s0"), peer.address), full=False)
+            pool.send()
+            assert (await pool.end(3))[0] is Outcome.OK
+
+    run(body())
+
+
+def test_what_a_full_list_leaves_out_is_gone() -> None:
+    async def body() -> None:
+        async with backend() as peer, backend() as other:
+            pool = Pool(peer.address, other.address)
+            pool.send("s0")
+            await pool.end()
+            pool.tell((Backend("s1"), other.address))
+            await until(lambda: pool.pool.sockets == 0)
+            pool.skipped = 1.0
+            pool.send("s0")
+            assert await pool.end(2) == (Outcome.CONNECT_FAILED, None)
+            assert len(peer.commands) == 1
+
+    run(body())
+
+
+def test_a_backend_at_a_new_address_is_sought_there() -> None:
+    async def body() -> None:
+        async with backend(value(b"old")) as old, backend(value(b"new")) as new:
+            pool = Pool(old.address)
+            pool.send()
+            await pool.end()
+            pool.tell((Backend("s0"), new.address), full=False)
+            pool.send()
+            assert await pool.end(2) == (Outcome.OK, b"new")
+
+    run(body())
+
+
+def test_sockets_are_bounded_over_all_backends() -> None:
+    async def body() -> None:
+        async with backend() as one, backend(b"") as silent:
+            pool = Pool(one.address, silent.address, most=2)
+            pool.send("s0")
+            await pool.end()
+            pool.send("s1")
+            pool.send("s1")  # takes the place of the idle connection to the other
+            pool.send("s1")
+            assert await pool.end(2) == (Outcome.CONNECT_FAILED, None)
+            await until(lambda: len(silent.commands) == 2)
+            assert pool.pool.sockets == 2 and pool.ends[-1][0] == 3
+
+    run(body())
