--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -291,11 +291,6 @@
 
     def _accept(self) -> None:
         while True:
-            if len(self.connections) >= self.most and not self._spare():
-                # Guards against running out of descriptors: new ones wait until one leaves.
-                self.loop.remove_reader(self.listener)
-                self.waiting = True
-                return
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
@@ -310,6 +305,11 @@
             task = self.loop.create_task(self._attach(client, sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
+            if len(self.connections) >= self.most and not self._spare():
+                # Guards against running out of descriptors: new ones wait until one leaves.
+                self.loop.remove_reader(self.listener)
+                self.waiting = True
+                return
 
     async def _attach(self, client: Client, sock: socket.socket) -> None:
         try:
@@ -327,6 +327,11 @@
             oldest.end()
         return oldest is not None
 
+    def _close_listener(self) -> None:
+        if self.listener.fileno() >= 0:
+            self.loop.remove_reader(self.listener)
+            self.listener.close()
+
     def left(self, client: Client) -> None:
         self.connections.discard(client)
         if self.waiting and not self.draining:
@@ -343,14 +348,12 @@
         if not self.waiting:
             self._accept()
         self.draining = True
-        self.loop.remove_reader(self.listener)
-        self.listener.close()
+        self._close_listener()
         for client in list(self.connections):
             if not client.slots:
                 client.end()
 
     def close(self) -> None:
-        self.loop.remove_reader(self.listener)
-        self.listener.close()
+        self._close_listener()
         for client in list(self.connections):
             client.end()
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -79,9 +79,10 @@
                 try:
                     await self._ask(session)
                     failures = 0
-                except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-                    # Guards against an agent that is silent, gone or speaks nonsense: the last list is
-                    # kept, tries are spaced, and the next one asks for the whole list.
+                except Exception as error:
+                    # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
+                    # what is done with a list: the last one is kept, tries are spaced, and the next asks for
+                    # the whole list.
                     if failures in (0, 10, 100, 1000):
                         log.warning("discovery: %s: %s", type(error).__name__, error)
                     self.version = None
--- /dev/null
+++ b/tests/test_net_counter.py
@@ -0,0 +1,204 @@
+"""The counter's client: outcomes, the order of answers, and connections that fail."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from mulleinhall.interface import CounterReply, Outcome
+from mulleinhall.net import counter as module
+from mulleinhall.net.clock import unix_clock
+from mulleinhall.net.counter import Counter
+from tests.peers import Address, Peer, Reader, Writer, run, until
+
+
+class Calls:
+    """A counter's client under test, and what it has told."""
+
+    def __init__(self, address: Address, timeout: float = 5.0) -> None:
+        self.replies: list[CounterReply] = []
+        self.counter = Counter(address, timeout, unix_clock(), self.replies.append)
+
+    def add(self, name: int = 7, amount: float = 1.0, lifetime: float = 60.0) -> None:
+        self.counter.call(name, amount, lifetime)
+
+    async def reply(self, count: int = 1) -> tuple[int, Outcome, float]:
+        await until(lambda: len(self.replies) >= count)
+        last = self.replies[count - 1]
+        return last.name, last.outcome, last.total
+
+
+def scripted(*answers: bytes) -> Peer:
+    """Answers the calls in turn, then falls silent."""
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        for answer in answers:
+            peer.commands.append([await reader.readline()])
+            writer.write(answer)
+        while line := await reader.readline():
+            peer.commands.append([line])
+
+    peer = Peer(script)
+    return peer
+
+
+@pytest.mark.parametrize(("answer", "outcome", "total"), [
+    (b"ok 41.5\r\n", Outcome.OK, 41.5), (b"ok -3\r\n", Outcome.OK, -3.0), (b"busy\r\n", Outcome.FULL, 0.0),
+    (b"error\r\n", Outcome.FULL, 0.0), (b"what\r\n", Outcome.TIMEOUT, 0.0), (b"ok\r\n", Outcome.TIMEOUT, 0.0),
+])
+def test_what_an_answer_means(answer: bytes, outcome: Outcome, total: float) -> None:
+    async def body() -> None:
+        async with scripted(answer) as peer:
+            calls = Calls(peer.address)
+            calls.add()
+            assert await calls.reply() == (7, outcome, total)
+
+    run(body())
+
+
+@pytest.mark.parametrize(("amount", "lifetime", "line"), [
+    (1.0, 60.0, b"add 7 1 60000\r\n"), (-2.5, 4.0, b"add 7 -2.5 4000\r\n"), (0.0, 0.0, b"add 7 0 1\r\n"),
+    (1e-7, 99.0, b"add 7 0 60000\r\n"), (1e8, 1.0, b"add 7 100000000 1000\r\n"),
+])
+def test_a_call_on_the_wire(amount: float, lifetime: float, line: bytes) -> None:
+    async def body() -> None:
+        async with scripted() as peer:
+            calls = Calls(peer.address)
+            calls.add(7, amount, lifetime)
+            await until(lambda: peer.commands)
+            assert peer.commands == [[line]]
+
+    run(body())
+
+
+def test_calls_are_pipelined_on_one_connection_and_matched_in_order() -> None:
+    made: list[Calls] = []
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        for _ in range(3):
+            peer.commands.append([await reader.readline()])
+        writer.write(b"ok 1\r\nbu")
+        await until(lambda: made[0].replies)
+        writer.write(b"sy\r\nok 3\r\n")
+        await reader.read()
+
+    async def body() -> None:
+        async with peer:
+            calls = Calls(peer.address)
+            made.append(calls)
+            for name in (1, 2, 3):
+                calls.add(name)
+            await calls.reply(3)
+            assert [(r.name, r.outcome, r.total) for r in calls.replies] == [
+                (1, Outcome.OK, 1.0), (2, Outcome.FULL, 0.0), (3, Outcome.OK, 3.0)]
+            assert peer.connections == 1
+
+    peer = Peer(script)
+    run(body())
+
+
+def test_a_late_answer_is_not_taken_for_the_next_calls() -> None:
+    made: list[Calls] = []
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        await reader.readline()
+        await until(lambda: made[0].replies)
+        made[0].counter.timeout = 5.0
+        made[0].add(2)
+        await reader.readline()
+        writer.write(b"ok 100\r\nok 200\r\n")
+        await reader.read()
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            calls = Calls(peer.address, timeout=0.2)
+            made.append(calls)
+            calls.add(1)
+            assert await calls.reply() == (1, Outcome.TIMEOUT, 0.0)
+            assert await calls.reply(2) == (2, Outcome.OK, 200.0)
+
+    run(body())
+
+
+def test_a_refused_connection_added_nothing() -> None:
+    async def body() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = server.getsockname()
+        calls = Calls(address)
+        calls.add()
+        assert await calls.reply() == (7, Outcome.CONNECT_FAILED, 0.0)
+
+    run(body())
+
+
+def test_a_call_that_waits_for_its_connection_is_never_sent_once_its_time_is_up() -> None:
+    async def body() -> None:
+        with socket.socket() as server:
+            server.bind(("127.0.0.1", 0))
+            server.listen(0)
+            crowd = [socket.socket() for _ in range(4)]
+            for sock in crowd:
+                sock.setblocking(False)
+                sock.connect_ex(server.getsockname())
+            calls = Calls(server.getsockname(), timeout=0.05)
+            calls.add()
+            assert await calls.reply() == (7, Outcome.CONNECT_FAILED, 0.0)
+            await until(lambda: calls.counter.connecting is None)
+            assert len(calls.replies) == 1
+            for sock in crowd:
+                sock.close()
+
+    run(body())
+
+
+def test_a_connection_that_ends_under_a_call_may_have_added_and_is_replaced() -> None:
+    async def script(number: int, reader: Reader, writer: Writer) -> None:
+        await reader.readline()
+        if number == 1:
+            writer.write(b"ok 5\r\n")
+            await reader.read()
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            calls = Calls(peer.address)
+            calls.add()
+            assert await calls.reply() == (7, Outcome.TIMEOUT, 0.0)
+            calls.add()
+            assert await calls.reply(2) == (7, Outcome.OK, 5.0)
+
+    run(body())
+
+
+def test_a_silent_connection_is_replaced() -> None:
+    async def script(number: int, reader: Reader, writer: Writer) -> None:
+        while await reader.readline():
+            if number == 1:
+                writer.write(b"ok 5\r\n")
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            calls = Calls(peer.address, timeout=0.02)
+            calls.add()
+            assert await calls.reply() == (7, Outcome.TIMEOUT, 0.0)
+            assert calls.counter.link is not None
+            calls.counter.link.calls[0].made -= 60.0  # it is owed an answer for long
+            calls.counter.timeout = 5.0
+            calls.add()
+            assert await calls.reply(2) == (7, Outcome.OK, 5.0)
+            assert peer.connections == 2
+
+    run(body())
+
+
+def test_an_idle_connection_is_closed_from_here(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "IDLE", 0.05)
+
+    async def body() -> None:
+        async with scripted(b"ok 1\r\n") as peer:
+            calls = Calls(peer.address)
+            calls.add()
+            await calls.reply()
+            await until(lambda: peer.ended)
+            assert calls.counter.link is None
+
+    run(body())
--- /dev/null
+++ b/tests/test_net_discovery.py
@@ -0,0 +1,138 @@
+"""The watch: whole lists, changes, versions that start anew, and an agent that fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import time
+from typing import Any
+
+import pytest
+
+from mulleinhall.interface import ListKind, Readiness
+from mulleinhall.net import discovery as module
+from mulleinhall.net.discovery import Discovery, Listing, read_listing
+from tests.peers import Peer, Reader, Writer, entry, run, until
+
+HERE = ("127.0.0.1", 6379)
+
+
+def listing(version: int, full: bool, *rows: dict[str, Any]) -> bytes:
+    return json.dumps({"version": version, "full": full, "servers": rows}).encode()
+
+
+class Agent:
+    """Gives one answer after another (None: none at all, b"": ends the connection), then is silent."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.answers, self.asked, self.at = list(answers), list[str](), list[float]()
+        self.peer = Peer(self.script)
+
+    async def script(self, _: int, reader: Reader, writer: Writer) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            self.asked.append(head.split(b" ")[1].decode())
+            self.at.append(time.monotonic())
+            answer = self.answers.pop(0) if self.answers else None
+            if answer == b"":
+                return
+            if answer is not None:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                             b"Content-Length: %d\r\n\r\n%b" % (len(answer), answer))
+
+
+async def watch(agent: Agent, calls: int) -> list[tuple[ListKind, Listing]]:
+    """What was told until the agent was asked so many times."""
+    told: list[tuple[ListKind, Listing]] = []
+    async with agent.peer:
+        discovery = Discovery(agent.peer.address, lambda kind, found: told.append((kind, found)))
+        task = asyncio.create_task(discovery.run())
+        await until(lambda: len(agent.asked) >= calls)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    return told
+
+
+WATCH = "/api/targets?after=%d&wait_ms=" + str(module.WAIT_MS)
+
+
+def test_a_whole_list_and_then_changes() -> None:
+    async def body() -> None:
+        agent = Agent(listing(41, True, entry(HERE, started=0), entry(HERE, "s2", started=1_700_000_000_500)),
+                      listing(43, False, entry(HERE, "s2", "draining")), listing(44, False),
+                      listing(50, True, entry(HERE)))
+        told = await watch(agent, 5)
+        assert agent.asked == ["/api/targets", WATCH % 41, WATCH % 43, WATCH % 44, WATCH % 50]
+        assert [kind for kind, _ in told] == [ListKind.REPLACE, ListKind.UPDATE, ListKind.REPLACE]
+        assert [b.started for b in told[0][1].backends] == [0.0, 1_700_000_000.5]
+        assert told[1][1].backends[0].readiness is Readiness.DRAINING
+        assert told[0][1].addresses["s2"] == HERE
+
+    run(body())
+
+
+def test_versions_that_start_anew_bring_the_whole_list() -> None:
+    async def body() -> None:
+        agent = Agent(listing(41, True, entry(HERE)), listing(3, False, entry(HERE, "s9")),
+                      listing(3, True, entry(HERE, "s9")))
+        told = await watch(agent, 4)
+        assert agent.asked == ["/api/targets", WATCH % 41, "/api/targets", WATCH % 3]
+        assert [[b.id for b in found.backends] for _, found in told] == [["s1"], ["s9"]]
+
+    run(body())
+
+
+@pytest.mark.parametrize("broken", [b"", b"{", b"[]", b'{"version":1}', b'{"version":"x","servers":[]}'])
+def test_an_agent_that_fails_is_asked_again_and_the_list_kept(broken: bytes) -> None:
+    async def body() -> None:
+        agent = Agent(listing(41, True, entry(HERE)), broken, broken, listing(42, True, entry(HERE)))
+        told = await watch(agent, 5)
+        assert agent.asked[:2] == ["/api/targets", WATCH % 41] and agent.asked[-1] == WATCH % 42
+        assert "/api/targets" in agent.asked[2:]
+        assert [found.version for _, found in told] == [41, 42]
+        assert agent.at[-1] - agent.at[0] >= module.PAUSES[0]  # gently
+
+    run(body())
+
+
+def test_a_silent_agent_is_not_waited_for_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "ASK_TIMEOUT", 0.05)
+    monkeypatch.setattr(module, "WAIT_MS", 10)
+    monkeypatch.setattr(module, "GRACE", 0.05)
+
+    async def body() -> None:
+        agent = Agent(None, listing(1, True, entry(HERE)), None, listing(2, True, entry(HERE)))
+        told = await watch(agent, 5)
+        assert [found.version for _, found in told] == [1, 2]
+
+    run(body())
+
+
+def test_the_process_outlives_a_fault_in_what_is_told() -> None:
+    async def body() -> None:
+        agent = Agent(listing(1, True, entry(HERE)), listing(2, True, entry(HERE)))
+
+        def told(kind: ListKind, found: Listing) -> None:
+            raise RuntimeError("a fault")
+
+        async with agent.peer:
+            task = asyncio.create_task(Discovery(agent.peer.address, told).run())
+            await until(lambda: len(agent.asked) >= 3)
+            assert not task.done()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    run(body())
+
+
+@pytest.mark.parametrize("change", [
+    {"addr": "nowhere"}, {"addr": "127.0.0.1:99999"}, {"addr": 7}, {"id": None}, {"id": ""}, {"state": "odd"},
+    {"started_ms": "x"}, {"started_ms": -1}, {"weight": "x"}, {"weight": -1},
+])
+def test_a_malformed_entry_is_skipped_and_logged(
+        change: dict[str, Any], caplog: pytest.LogCaptureFixture) -> None:
+    rows = [entry(HERE) | change, entry(HERE, "s2"), 5]
+    with caplog.at_level(logging.WARNING):
+        found = read_listing({"version": 1, "full": True, "servers": rows})
+    assert [b.id for b in found.backends] == ["s2"]
+    assert len(caplog.records) == 2
--- /dev/null
+++ b/tests/test_net_ingress.py
@@ -0,0 +1,364 @@
+"""The whole ingress on sockets: clients, the real module, scripted backends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import hiredis
+import pytest
+
+import mulleinhall.interface as api
+from mulleinhall.net import clients
+from mulleinhall.net.clock import unix_clock
+from mulleinhall.net.config import Config
+from mulleinhall.net.ingress import Ingress
+from tests.peers import (
+    Caller,
+    Peer,
+    Reader,
+    Writer,
+    backend,
+    command,
+    config,
+    entry,
+    read_command,
+    resp,
+    run,
+    until,
+    value,
+)
+
+
+@asynccontextmanager
+async def serving(settings: Config) -> AsyncIterator[tuple[Ingress, Any]]:
+    """An ingress that runs, and the address where it listens."""
+    served = Ingress(settings)
+    stop = asyncio.Event()
+    task = asyncio.create_task(served.run(stop))
+    await until(lambda: served.gateway.born is not None)
+    try:
+        yield served, served.clients.listener.getsockname()
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        served.clients.close()
+        served.backends.close()
+
+
+class Stub:
+    """A module that does as it is told: `plan` gives the actions for an event."""
+
+    def __init__(self, plan: Any) -> None:
+        self.plan, self.born, self.seen = plan, 0.0, list[api.Event]()
+        self.actions: list[api.Action] = []
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.seen.append(event)
+        self.actions = []
+        self.actions += self.plan(event) if self.plan else []
+        return self.actions
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.seen if isinstance(event, kind)]
+
+
+def send(event: api.Event, backend: str = "s1") -> list[api.Action]:
+    return [api.Send(event.id, backend)] if isinstance(event, api.Request) else []
+
+
+def test_ping_and_the_small_commands() -> None:
+    async def body() -> None:
+        async with serving(config()) as (_, address):
+            caller = await Caller.to(address)
+            caller.writer.write(resp(b"PING"))
+            assert await caller.reader.readexactly(7) == b"+PONG\r\n"
+            assert await caller.ask(resp(b"SELECT", b"0")) == b"OK"
+            assert await caller.ask(resp(b"CLIENT", b"SETNAME", b"x")) == b"OK"
+            assert str(await caller.ask(resp(b"HELLO", b"3"))).startswith("ERR")
+
+    run(body())
+
+
+@pytest.mark.parametrize("body", [b"x", bytes(range(256)) * 256])
+def test_a_value_goes_through_unchanged(body: bytes) -> None:
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        words = await read_command(reader)
+        peer.commands.append(words)
+        writer.write(value(words[4]))
+        await reader.read()
+
+    async def play() -> None:
+        async with peer, serving(config(entry(peer.address))) as (_, address):
+            caller = await Caller.to(address)
+            assert await caller.ask(command(cls="order", body=body)) == body
+            [words] = peer.commands
+            assert words[0] == b"API.WRITE" and words[1] == b"%016x" % 7
+            assert b"k=0123456789abcdef" in words[3].split(b",")
+
+    peer = Peer(script)
+    run(play())
+
+
+def test_answers_come_in_the_order_of_the_commands() -> None:
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        words = await read_command(reader)
+        if words[2] == b"slow":
+            await until(lambda: peer.commands)
+        else:
+            peer.commands.append(words)
+        writer.write(value(words[2]))
+        await reader.read()
+
+    async def body() -> None:
+        async with peer, serving(config(entry(peer.address))) as (served, address):
+            served.gateway = Stub(send)  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(command("slow") + command("quick") + resp(b"PING"))
+            assert [await caller.answer() for _ in range(3)] == [b"slow", b"quick", b"PONG"]
+
+    peer = Peer(script)
+    run(body())
+
+
+@pytest.mark.parametrize(("data", "why"), [
+    (resp(b"GET", b"x"), "unknown command"), (resp(b"API.READ"), "arguments"),
+    (command(cls="read").replace(b"c=read", b"c=what"), "unknown class"),
+    (command().replace(b"t=basic", b"t=biscu"), "unknown plan"), (command(d=0).replace(b"d=0", b"d=x"), "d"),
+    (command().replace(b"units=1", b"units=x"), "units"),
+    (command().replace(b"units=1", b"units=0"), "units"),
+    (command().replace(b"spread=1", b"spread=_"), "spread"),
+    (command().replace(b"first=0", b"first=-"), "first"),
+    (command(customer=2 ** 33), "customer"), (command().replace(b"%016x" % 7, b"z" * 16), "customer"),
+    (command(verb="API.WRITE", body=b"x"), "other command"),
+    (command(cls="order", body=b"x" * 65537), "too large"),
+    (command().replace(b"c=read,", b"c-read,"), "names and values"), (b"*1\r\n:5\r\n", "bulk strings"),
+    (b"*0\r\n", "bulk strings"), (command(cls="order").replace(b",k=", b",j="), "k is missing"),
+])
+def test_a_malformed_command_is_told_and_logged_and_the_connection_goes_on(
+        data: bytes, why: str, caplog: pytest.LogCaptureFixture) -> None:
+    async def body() -> None:
+        async with serving(config()) as (_, address):
+            caller = await Caller.to(address)
+            answer = await caller.ask(data)
+            assert isinstance(answer, hiredis.ReplyError)
+            assert str(answer).startswith("ERR ") and why in str(answer)
+            assert await caller.ask(resp(b"PING")) == b"PONG"
+
+    with caplog.at_level(logging.WARNING):
+        run(body())
+    assert any(why in record.getMessage() for record in caplog.records)
+
+
+@pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n", b"+PING\r\n", b"*x\r\n", b"*1\r\n$x\r\n",
+                                  b"*1\r\n$900000\r\n" + b"x" * 800_000])
+def test_a_broken_frame_ends_the_connection_after_the_answers_owed(data: bytes) -> None:
+    made: list[Ingress] = []
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        await read_command(reader)
+        await until(lambda: made[0].clients.bad)
+        writer.write(value(b"served"))
+        await reader.read()
+
+    async def body() -> None:
+        async with Peer(script) as peer, serving(config(entry(peer.address))) as (served, address):
+            made.append(served)
+            caller = await Caller.to(address)
+            caller.writer.write(command() + data)
+            assert await caller.answer() == b"served"
+            assert str(await caller.answer()).startswith("ERR ")
+            with pytest.raises((EOFError, ConnectionError)):
+                await caller.answer()
+
+    run(body())
+
+
+def test_a_client_that_hangs_up_is_told_to_the_module() -> None:
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(command())
+            await until(lambda: peer.commands)
+            caller.writer.close()
+            await until(lambda: stub.of(api.Abandoned))
+            assert not served.open
+
+    run(body())
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_a_final_answer_comes_in_time_whatever_module_and_peer_do(sent: bool) -> None:
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send if sent else None)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            clock = asyncio.get_running_loop().time
+            start = clock()
+            assert str(await caller.ask(command(d=300))) == "ERR failed"
+            assert clock() - start > 0.2
+            assert len(stub.of(api.Abandoned)) == 1
+            await until(lambda: not served.attempts and not served.open)
+            assert len(stub.of(api.AttemptEnded)) == sent
+            assert await caller.ask(resp(b"PING")) == b"PONG"
+
+    run(body())
+
+
+def test_the_module_answers_before_the_last_answer_is_forced() -> None:
+    """A silent backend: the attempt's time is up first, and the module gives the final answer."""
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            caller = await Caller.to(address)
+            assert isinstance(await caller.ask(command(d=500)), hiredis.ReplyError)
+            assert not served.open and not served.gateway.jobs
+
+    run(body())
+
+
+def test_a_refusal_tells_when_to_come_again() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            waits = {"1": 0.0, "2": 1.2501}
+            served.gateway = Stub(lambda e: [api.Refuse(e.id, waits[e.id])])  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            assert str(await caller.ask(command())) == "BUSY"
+            assert str(await caller.ask(command())) == "BUSY 1251"
+
+    run(body())
+
+
+def test_a_second_final_answer_is_dropped() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            served.gateway = Stub(lambda e: [api.Fail(e.id), api.Refuse(e.id)])  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            assert str(await caller.ask(command())) == "ERR failed"
+            assert await caller.ask(resp(b"PING")) == b"PONG"
+
+    run(body())
+
+
+def test_a_fault_in_the_module_ends_one_request_and_no_more(caplog: pytest.LogCaptureFixture) -> None:
+    """What the module had decided before it failed is carried out: its next timer, above all."""
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            def plan(event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.Request) and event.customer.endswith("9"):
+                    stub.actions.append(api.SetTimer(0.0, 5))
+                    raise RuntimeError("a fault")
+                return send(event)
+
+            stub = Stub(plan)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(command("one") + command("two", customer=9) + command("three"))
+            assert await caller.answer() == b"one"
+            assert str(await caller.answer()) == "ERR failed"
+            assert await caller.answer() == b"three"
+            await until(lambda: stub.of(api.Timer))
+            await until(lambda: not served.open)
+
+    run(body())
+    assert sum("the module failed" in record.getMessage() for record in caplog.records) == 1
+
+
+def test_the_earlier_attempt_is_ended_before_another_is_sent() -> None:
+    async def body() -> None:
+        async with backend(b"") as one, backend() as two, serving(
+                config(entry(one.address), entry(two.address, "s2"))) as (served, address):
+            def plan(event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.Timer):
+                    return [api.Send("1", "s2")]
+                return [*send(event), api.SetTimer(0.1, 1)] if isinstance(event, api.Request) else []
+
+            stub = Stub(plan)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            assert await caller.ask(command("x")) == b"x"
+            assert [e.outcome for e in stub.of(api.AttemptEnded)] == [api.Outcome.CANCELLED, api.Outcome.OK]
+            await until(lambda: one.ended)
+
+    run(body())
+
+
+def test_an_attempt_after_the_end_or_past_the_most_is_moot() -> None:
+    async def body() -> None:
+        async with backend(b"-ERR failed\r\n") as peer, serving(
+                config(entry(peer.address))) as (served, address):
+            def plan(event: api.Event) -> list[api.Action]:
+                again = isinstance(event, api.AttemptEnded) and not event.finished and event.attempt < 4
+                return [api.Send(event.id, "s1")] if again else send(event)  # type: ignore[union-attr]
+
+            stub = Stub(plan)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            assert str(await caller.ask(command(d=300))) == "ERR failed"
+            ends = [(e.attempt, e.outcome) for e in stub.of(api.AttemptEnded)]
+            assert ends == [*((n, api.Outcome.ERROR) for n in range(4)), (4, api.Outcome.MOOT)]
+
+    run(body())
+
+
+def test_open_requests_are_bounded() -> None:
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            object.__setattr__(served.config, "most_open", 1)
+            caller = await Caller.to(address)
+            other = await Caller.to(address)
+            caller.writer.write(command())
+            await until(lambda: peer.commands)
+            assert str(await other.ask(command())) == "BUSY"
+
+    run(body())
+
+
+def test_a_client_far_ahead_is_read_no_further(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+    most = 0
+
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            def plan(event: api.Event) -> list[api.Action]:
+                nonlocal most
+                most = max(most, len(served.open))
+                return send(event)
+
+            served.gateway = Stub(plan)  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(b"".join(command(str(n)) for n in range(50)))
+            assert [await caller.answer() for _ in range(50)] == [b"%d" % n for n in range(50)]
+
+    run(body())
+    assert most == 4
+
+
+def test_connections_of_clients_are_bounded_and_idle_ones_make_room() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            served.clients.most = 3  # the last place is kept free
+            callers = [await Caller.to(address) for _ in range(2)]
+            for caller in callers:
+                assert await caller.ask(resp(b"PING")) == b"PONG"
+            third = await Caller.to(address)
+            assert await third.ask(resp(b"PING")) == b"PONG"
+            with pytest.raises(EOFError):
+                await callers[0].answer()
+            assert await callers[1].ask(resp(b"PING")) == b"PONG"
+
+    run(body())
+
+
+def test_the_clock_is_unix_time_and_does_not_jump(monkeypatch: pytest.MonkeyPatch) -> None:
+    import time
+    clock = unix_clock()
+    assert abs(clock() - time.time()) < 5.0
+    before = clock()
+    monkeypatch.setattr(time, "time", lambda: 0.0)
+    assert before <= clock() < before + 5.0
--- /dev/null
+++ b/tests/test_net_restart.py
@@ -0,0 +1,128 @@
+"""The real program as a process: it starts, serves, and ends on SIGTERM with every answer given."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from mulleinhall.net import ingress
+from tests.peers import (
+    Address,
+    Caller,
+    Peer,
+    Reader,
+    Writer,
+    backend,
+    command,
+    config_text,
+    entry,
+    read_command,
+    resp,
+    run,
+    value,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port: int = server.getsockname()[1]
+        return port
+
+
+@asynccontextmanager
+async def program(peer: Peer, path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, Address]]:
+    address = ("127.0.0.1", free_port())
+    path = path / "config.json"
+    fleet = (entry(peer.address, f"s{n}") for n in range(8))
+    path.write_text(config_text(*fleet, listen=f"127.0.0.1:{address[1]}"), encoding="utf-8")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)})
+    try:
+        while True:
+            try:
+                caller = await Caller.to(address)
+                break
+            except ConnectionError:
+                await asyncio.sleep(0.01)
+        assert await caller.ask(resp(b"PING")) == b"PONG"
+        caller.writer.close()
+        yield process, address
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def test_a_planned_restart_loses_nothing(tmp_path: Path) -> None:
+    ended = asyncio.Event()
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        while True:
+            words = await read_command(reader)
+            if words[2] == b"slow":
+                await ended.wait()
+            writer.write(value(words[2]))
+
+    async def body() -> None:
+        async with Peer(script) as peer, program(peer, tmp_path) as (process, address):
+            slow, idle = await Caller.to(address), await Caller.to(address)
+            slow.writer.write(command("slow"))
+            assert await idle.ask(command("before")) == b"before"
+            process.send_signal(signal.SIGTERM)
+            at = time.monotonic()
+            # New connections and those that stand are served on for a while.
+            fresh = await Caller.to(address)
+            assert await fresh.ask(command("fresh")) == b"fresh"
+            assert await idle.ask(command("after")) == b"after"
+            with pytest.raises((EOFError, ConnectionError)):
+                await idle.answer()
+            assert time.monotonic() - at >= 0.4
+            with pytest.raises(ConnectionError):
+                await Caller.to(address)
+            ended.set()
+            assert await slow.answer() == b"slow"
+            with pytest.raises((EOFError, ConnectionError)):
+                await slow.answer()
+            assert await process.wait() == 0
+
+    run(body())
+
+
+def test_what_is_still_open_is_answered_before_sigkill(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend(b"") as peer, program(peer, tmp_path) as (process, address):
+            caller = await Caller.to(address)
+            caller.writer.write(command(d=60_000))
+            process.send_signal(signal.SIGTERM)
+            at = time.monotonic()
+            assert str(await caller.answer()) == "ERR failed"
+            assert await process.wait() == 0
+            longest = 2.0  # the longest deadline in the settings
+            assert time.monotonic() - at < longest + ingress.KILL_AFTER
+
+    run(body())
+
+
+def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
+    async def body() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            path = tmp_path / "config.json"
+            path.write_text(config_text(listen=f"127.0.0.1:{server.getsockname()[1]}"), encoding="utf-8")
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE)
+            _, errors = await process.communicate()
+            assert process.returncode == 1 and b"listen" in errors
+
+    run(body())
