--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -23,6 +23,7 @@
 MOST_CUSTOMERS = 2 ** 33
 LONGEST_WAIT = 3600_000  # ms; a `d` above is a mistake
 BACKLOG = 512
+LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
 NOTHING = object()  # the reader has no whole command yet
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
@@ -153,6 +154,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
+        if self.server.draining:
+            # Guards against a connection accepted last that would stay: its request may be on the way.
+            self.server.loop.call_later(LAST_CHANCE, self._end_if_idle)
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
@@ -232,6 +236,10 @@
             self.full = False
             self.server.loop.call_soon(self._parse)
 
+    def _end_if_idle(self) -> None:
+        if not self.slots:
+            self.end()
+
     def end(self) -> None:
         """Closes once what was written has gone out."""
         if self.transport is not None:
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 10_000  # of a watch: short beside the length of a silence that matters
+WAIT_MS = 20_000  # of a watch: what is new comes at once; a silent agent is given up after this
 GRACE = 2.0  # s: an agent answers at once, or once the wait is over
 ASK_TIMEOUT = 2.0  # s for a call that doesn't wait
 PAUSES = (0.05, 0.1, 0.2, 0.5, 1.0)  # s between tries while the agent is gone
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -355,6 +356,25 @@
     run(body())
 
 
+def test_a_connection_accepted_as_the_listener_closes_is_served_and_then_ended() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            idle = socket.create_connection(address)
+            busy = socket.create_connection(address)
+            busy.sendall(resp(b"PING"))
+            served.clients.drain()  # before the loop has seen either of them
+            loop = asyncio.get_running_loop()
+            for sock in (idle, busy):
+                sock.setblocking(False)
+            assert await loop.sock_recv(busy, 100) == b"+PONG\r\n"
+            for sock in (idle, busy):
+                assert await loop.sock_recv(sock, 100) == b""
+                sock.close()
+            await until(lambda: not served.clients.connections)
+
+    run(body())
+
+
 def test_the_clock_is_unix_time_and_does_not_jump(monkeypatch: pytest.MonkeyPatch) -> None:
     import time
     clock = unix_clock()
