--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -163,6 +163,12 @@
             return
         self.arrived = self.used = self.server.clock()
         self.unread += len(data)
+        if data[:1] == b"*" and not self.reader.has_data():
+            # Guards the loop against a frame that claims a billion words: the parser makes room for them all.
+            count = data[1:16].partition(b"\r")[0]
+            if count.isdigit() and int(count) > MOST_WORDS:
+                self._broken("too many words")
+                return
         try:
             self.reader.feed(data)
         except (hiredis.HiredisError, MemoryError) as error:
@@ -195,7 +201,7 @@
         slot = Slot(self)
         self.slots.append(slot)
         try:
-            if not words or len(words) > MOST_WORDS or not all(isinstance(w, bytes) for w in words):
+            if not words or not all(isinstance(w, bytes) for w in words):
                 raise BadCommand("a command is an array of bulk strings")
             verb = words[0].upper()
             if verb in (b"API.READ", b"API.WRITE"):
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -155,7 +155,7 @@
 
 
 @pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n", b"+PING\r\n", b"*x\r\n", b"*1\r\n$x\r\n",
-                                  b"*1\r\n$900000\r\n" + b"x" * 800_000])
+                                  b"*4000000000\r\n", b"*1\r\n$900000\r\n" + b"x" * 800_000])
 def test_a_broken_frame_ends_the_connection_after_the_answers_owed(data: bytes) -> None:
     made: list[Ingress] = []
 
@@ -178,6 +178,17 @@
     run(body())
 
 
+def test_a_frame_that_claims_a_billion_words_does_not_stall_the_loop() -> None:
+    async def body() -> None:
+        async with serving(config()) as (_, address):
+            caller = await Caller.to(address)
+            assert "too many words" in str(await caller.ask(b"*1000000000\r\n"))
+            with pytest.raises((EOFError, ConnectionError)):
+                await caller.answer()
+
+    run(body())
+
+
 def test_a_client_that_hangs_up_is_told_to_the_module() -> None:
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
