--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -34,12 +34,11 @@
     """One connection to the counter."""
 
     def __init__(self, owner: Counter) -> None:
-        self.owner, self.transport = owner, None
+        self.owner = owner
+        self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered, in order
         self.rest = b""
 
-    transport: asyncio.Transport | None
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
 
