SIGHUP reads the configuration again: discovery and counter move, the program lives

- The signal is blocked before the file is first read and let in once its handler stands, so none kills and no change is missed.
- A bad file logs one line that names the key; the old values hold.
- Another discovery: a new watch, from a whole list, the old task is cancelled.
- Another counter: new calls on a new link; the old one ends with its last answer, or when its calls are late.
A connection still coming up to the old address is dropped.

Tests: the real program as a subprocess (move, bad files, no file, no change, during a drain), repeats in one process, the counter's old link with and without answers.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -14,25 +14,47 @@
 from mulleinhall.net.config import BadConfig, Config, read_config
 from mulleinhall.net.ingress import Ingress
 
+log = logging.getLogger("mulleinhall")
+
+
+def load() -> Config:
+    """The configuration as the file holds it now; BadConfig names what is wrong with it."""
+    path = os.environ.get("EDGE_CONFIG", "")
+    if not path:
+        raise BadConfig("EDGE_CONFIG: not set")
+    try:
+        return read_config(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadConfig(f"EDGE_CONFIG: {error}") from None
+
 
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    ingress = Ingress(config)
+
+    def reload() -> None:
+        """Guards the process against a file that is broken or half written: the old values are kept."""
+        try:
+            ingress.reload(load())
+        except BadConfig as error:
+            log.error("configuration not taken: %s", error)
+
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await Ingress(config).run(stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    await ingress.run(stop)
 
 
 def main() -> int:
+    # Guards against a SIGHUP that comes before its handler stands: it waits, so no change is missed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
-    path = os.environ.get("EDGE_CONFIG", "")
     try:
-        if not path:
-            raise BadConfig("EDGE_CONFIG: not set")
-        config = read_config(Path(path).read_text(encoding="utf-8"))
-    except (BadConfig, OSError, UnicodeDecodeError) as error:
-        text = error if isinstance(error, BadConfig) else f"EDGE_CONFIG: {error}"
-        print(f"mulleinhall: {text}", file=sys.stderr)
+        config = load()
+    except BadConfig as error:
+        print(f"mulleinhall: {error}", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config))
--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -37,7 +37,7 @@
         self.owner = owner
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered, in order
-        self.rest = b""
+        self.rest, self.retired = b"", False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -50,6 +50,8 @@
                 self.drop()
                 return
             self.owner.answered(self.calls.popleft(), line.strip())
+        if self.retired and not self.calls:
+            self.drop()
         if len(self.rest) > 4096:
             log.warning("counter: an endless line")
             self.drop()
@@ -60,6 +62,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.drop()
 
+    def retire(self, wait: float) -> None:
+        """No further call comes: the connection ends with its last answer, or once all calls are late."""
+        self.retired = True
+        if self.calls:
+            self.owner.loop.call_later(wait, self.drop)
+        else:
+            self.drop()
+
     def drop(self) -> None:
         """Ends the connection.  What was written on it may have been added."""
         if self.transport is not None:
@@ -78,7 +88,8 @@
         self.address, self.timeout, self.clock, self.told = address, timeout or 0.05, clock, told
         self.loop = asyncio.get_running_loop()
         self.link: Link | None = None
-        self.connecting: asyncio.Task[None] | None = None
+        self.connecting: asyncio.Task[None] | None = None  # to the address that holds now
+        self.tasks: set[asyncio.Task[None]] = set()
         self.unsent: deque[Call] = deque()  # wait for the connection to come up
         self.used = 0.0  # when the connection was last written to
         self.idle_timer: asyncio.TimerHandle | None = None
@@ -100,7 +111,21 @@
             return
         self.unsent.append(call)
         if self.connecting is None:
-            self.connecting = self.loop.create_task(self._connect())
+            self._open()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The counter is at another address now; calls that are out may still be answered from the old."""
+        self.address = address
+        link, self.link, self.connecting = self.link, None, None
+        if link is not None:
+            link.retire(self.timeout)
+        if self.unsent:
+            self._open()
+
+    def _open(self) -> None:
+        self.connecting = task = self.loop.create_task(self._connect())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     def _write(self, link: Link, call: Call) -> None:
         assert link.transport is not None
@@ -115,6 +140,11 @@
         except (OSError, TimeoutError) as error:
             log.debug("counter: %s", error)
             link = None
+        if self.connecting is not asyncio.current_task():
+            # Guards against a counter that moved while the connection came up: this one leads to the old.
+            if link is not None:
+                link.drop()
+            return
         self.connecting = None
         unsent, self.unsent = self.unsent, deque()
         if link is not None and link.transport is not None:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 from collections import deque
+from dataclasses import replace
 from math import ceil
 
 import mulleinhall.interface as api
@@ -57,28 +58,49 @@
         self.events: deque[api.Event] = deque()
         self.running = False
         self.unsupported: set[str] = set()
+        self.watch: asyncio.Task[None] | None = None
         self.backends = Backends(config.backend_sockets, config.connect_timeout, config.idle_time,
                                  self.settings.drain_grace, self.clock, self.ended)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
-        self.discovery = Discovery(config.discovery, self.listed)
         self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
         self.listed(api.ListKind.RESTORED, self.config.known)
         self.clients.open()
-        watch = self.loop.create_task(self.discovery.run())
+        self._watch()
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
         await self._drain()
-        watch.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await watch
+        if (watch := self.watch) is not None:
+            watch.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watch
         self.backends.close()
         if self.counter is not None:
             self.counter.close()
 
+    def _watch(self) -> None:
+        """A new watch on discovery, from a whole list; the old one ends."""
+        if self.watch is not None:
+            self.watch.cancel()
+        self.watch = self.loop.create_task(Discovery(self.config.discovery, self.listed).run())
+
+    def reload(self, config: Config) -> None:
+        """The configuration was replaced: discovery and counter may be elsewhere.  What is not told here
+        holds from the next start."""
+        old, self.config = self.config, replace(
+            self.config, discovery=config.discovery, counter=config.counter)
+        if config.discovery != old.discovery:
+            self._watch()
+        if self.counter is not None and config.counter is not None and config.counter != old.counter:
+            self.counter.move(config.counter)
+        log.info("configuration read again: discovery %s, counter %s", config.discovery, config.counter)
+        if replace(config, seed=old.seed, known=old.known, discovery=old.discovery,
+                   counter=old.counter) != old:
+            log.warning("what else has changed in it holds from the next start")
+
     async def _drain(self) -> None:
         """A planned restart: what is held is answered, before the earliest SIGKILL whatever happens."""
         longest = min(max(c.deadline for c in self.settings.classes), MOST_DEADLINE)
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -202,3 +202,58 @@
             assert calls.counter.link is None
 
     run(body())
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_counter_that_moves_finishes_the_old_calls_and_takes_new_ones_elsewhere(answers: bool) -> None:
+    """The old connection ends with its last answer, or once its calls are late; nothing is left of it."""
+    made: list[Calls] = []
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        old.commands.append([await reader.readline()])
+        await until(lambda: len(made[0].replies) == 1)
+        if answers:
+            writer.write(b"ok 1\r\n")
+        await reader.read()
+
+    async def body() -> None:
+        async with old, scripted(b"ok 2\r\n") as new:
+            calls = Calls(old.address, timeout=5.0 if answers else 0.5)
+            made.append(calls)
+            calls.add(1)
+            await until(lambda: old.commands)
+            calls.counter.move(new.address)
+            calls.add(2)
+            assert await calls.reply() == (2, Outcome.OK, 2.0)
+            assert await calls.reply(2) == ((1, Outcome.OK, 1.0) if answers else (1, Outcome.TIMEOUT, 0.0))
+            await until(lambda: old.ended)
+            assert not calls.counter.tasks
+
+    old = Peer(script)
+    run(body())
+
+
+def test_a_counter_that_moves_while_its_connection_comes_up_is_sought_at_the_new_address() -> None:
+    async def body() -> None:
+        async with scripted() as old, scripted(b"ok 2\r\n") as new:
+            calls = Calls(old.address)
+            calls.add(1)
+            calls.counter.move(new.address)
+            assert await calls.reply() == (1, Outcome.OK, 2.0)
+            await until(lambda: old.ended == old.connections and not calls.counter.tasks)
+            assert not old.commands
+
+    run(body())
+
+
+def test_moving_an_idle_counter_leaves_no_connection() -> None:
+    async def body() -> None:
+        async with scripted(b"ok 1\r\n") as old, scripted() as new:
+            calls = Calls(old.address)
+            calls.add()
+            await calls.reply()
+            calls.counter.move(new.address)
+            await until(lambda: old.ended)
+            assert calls.counter.link is None and not new.connections
+
+    run(body())
--- /dev/null
+++ b/tests/test_net_reload.py
@@ -0,0 +1,132 @@
+"""SIGHUP: the configuration is read again by the real program, and discovery and counter move."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from mulleinhall.net.ingress import Ingress
+from tests.peers import (
+    SETTINGS,
+    Address,
+    Caller,
+    Peer,
+    backend,
+    command,
+    config,
+    config_text,
+    entry,
+    run,
+    until,
+    value,
+)
+from tests.test_net_counter import scripted
+from tests.test_net_discovery import Agent, listing
+from tests.test_net_restart import ROOT, free_port
+
+
+@asynccontextmanager
+async def program(path: Path, text: str, address: Address) -> AsyncIterator[asyncio.subprocess.Process]:
+    path.write_text(text, encoding="utf-8")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE)
+    try:
+        assert process.stderr is not None
+        while b"serves on" not in await process.stderr.readline():
+            pass
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def line(process: asyncio.subprocess.Process, *parts: str) -> str:
+    """The next line of the log that holds all of `parts`."""
+    assert process.stderr is not None
+    while text := (await process.stderr.readline()).decode():
+        if all(part in text for part in parts):
+            return text
+    raise EOFError
+
+
+def test_the_program_follows_a_new_configuration_and_outlives_a_bad_one(tmp_path: Path) -> None:
+    path, here = tmp_path / "config.json", ("127.0.0.1", free_port())
+
+    def text(agent: Agent) -> str:
+        return config_text(listen=f"127.0.0.1:{here[1]}",
+                           discovery="{}:{}".format(*agent.peer.address))
+
+    async def body() -> None:
+        async with backend(value(b"one")) as one, backend(value(b"two")) as two:
+            first = Agent(listing(40, True, entry(one.address)))
+            # The new agent counts its versions anew, and closes the first call that it gets.
+            second = Agent(b"", listing(3, True, entry(two.address, "s2")))
+            async with first.peer, second.peer, program(path, text(first), here) as process:
+                caller = await Caller.to(here)
+                await until(lambda: len(first.asked) == 2)
+                assert await caller.ask(command()) == b"one"
+                for bad, key in (("{", "EDGE_CONFIG"), (config_text(seed="xyz"), "seed")):
+                    path.write_text(bad, encoding="utf-8")
+                    process.send_signal(signal.SIGHUP)
+                    await line(process, "not taken", key)
+                path.unlink()
+                process.send_signal(signal.SIGHUP)
+                await line(process, "not taken", "EDGE_CONFIG")
+                assert await caller.ask(command()) == b"one"
+                path.write_text(text(first), encoding="utf-8")  # no change: the watch goes on
+                process.send_signal(signal.SIGHUP)
+                await line(process, "read again")
+                assert first.peer.connections == 1 and not first.peer.ended
+                path.write_text(text(second), encoding="utf-8")
+                process.send_signal(signal.SIGHUP)
+                await until(lambda: len(second.asked) >= 3 and first.peer.ended)
+                assert second.asked[:2] == ["/api/targets"] * 2
+                assert await caller.ask(command()) == b"two"
+                # And back, while the program drains: it is no less deaf to signals then.
+                path.write_text(text(first), encoding="utf-8")
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
+                await until(lambda: first.peer.connections == 2)
+                assert await process.wait() == 0
+
+    run(body())
+
+
+def test_a_reload_moves_the_counter_and_leaves_nothing_of_the_old(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with scripted(b"ok 1\r\n") as old, scripted(b"ok 1\r\n") as new:
+            agents = [Agent(listing(1, True)) for _ in range(3)]
+            async with agents[0].peer, agents[1].peer, agents[2].peer:
+                def at(agent: Agent, counter: Peer) -> dict[str, str]:
+                    return {"discovery": "{}:{}".format(*agent.peer.address),
+                            "counter": "{}:{}".format(*counter.address)}
+
+                base = SETTINGS | {"family-info": {"counter": True, "count-wait-s": 5.0}}
+                served = Ingress(config(settings=base, **at(agents[0], old)))
+                stop = asyncio.Event()
+                task = asyncio.create_task(served.run(stop))
+                assert served.counter is not None
+                await until(lambda: len(agents[0].asked) == 2)
+                served.counter.call(7, 1.0, 60.0)
+                await until(lambda: old.commands)
+                before = len(asyncio.all_tasks())
+                for agent, counter in ((agents[1], new), (agents[2], new), (agents[2], new)):
+                    served.reload(config(settings=base, **at(agent, counter)))
+                await until(lambda: len(agents[2].asked) == 2 and old.ended and agents[0].peer.ended)
+                await until(lambda: agents[1].peer.ended == agents[1].peer.connections)
+                assert agents[2].peer.connections == 1
+                served.counter.call(7, 1.0, 60.0)
+                await until(lambda: new.commands)
+                # One watch, and what the scripted peers keep for the ends that stand.
+                assert len(asyncio.all_tasks()) <= before
+                stop.set()
+                await task
+
+    run(body())
