Frames are cut before they are parsed; clients keep a place only while they use it

A sampling profile in the log then showed twelve seconds in which no line of Python ran and the CPU was spent: time inside the parser. To blame: backends' answers that claim a huge array, for which the parser makes room (`reader.gets()` in net/backends.py); clients had a guard, backends none.

- net/frames.py walks the headers of a frame: counts and lengths are judged as soon as they are here (words, 64 KiB, whole size); hiredis gets whole frames only.
Commands and answers alike, at any place in a read.
- Backends: what is not an array of three, -BUSY or -ERR failed closes its connection, judged before it is released.
Load figures that are none are left out one by one.
A connection rests 3 ms after an answer: noise behind it is not the next answer.
- Clients: 2 s for a first command, for the rest of one begun (from its first byte), for reading answers; idle ones go after 5 s.
Accepting is bounded per turn; room is made by who has been ended, then silent, then idle ones.
A broken frame is told, what follows is thrown away for a bounded time and size; eight bad commands in a row end a connection.
- Figures outside the settings (units, spread, first, d), doubled names, ids of open requests never become a request.
Unread input and held requests share a budget derived from memory_mb.
- Faults of backends are logged with a limit.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -7,21 +7,27 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import Any, cast
+from math import inf
+from typing import cast
 
 import hiredis
 
 from mulleinhall.interface import Backend, Outcome, Readiness
 from mulleinhall.net.clock import Clock
+from mulleinhall.net.frames import BadFrame, array_end
 from mulleinhall.wire import LOADS
 
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
-LONGEST_ANSWER = 256 * 1024  # bytes; a value holds at most 64 KiB
+LARGEST = 64 * 1024  # bytes of a value
+LONGEST_ANSWER = LARGEST + 8 * 1024  # bytes of a value, figures and a report
+LONGEST_LINE = 1024  # bytes of an error line
+SETTLED = 0.003  # s after an answer before its connection is used again; sooner than another would be up
+LOGGED = 50  # spoilt answers that are logged one by one; of later ones, every hundredth
+KNOWN_LOADS = frozenset(LOADS.values())
 SWEEP = 1.0  # s between looks for idle connections
-NOTHING = object()  # the reader has no whole answer yet
 
 
 class Attempt:
@@ -63,10 +69,11 @@
     def __init__(self, pool: Backends, target: Target, address: tuple[str, int],
                  sock: socket.socket) -> None:
         self.pool, self.target, self.address, self.sock = pool, target, address, sock
-        self.reader = hiredis.Reader(notEnoughData=NOTHING)
+        self.reader = hiredis.Reader()
+        self.rest = b""  # of an answer that is not whole yet
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
-        self.unread, self.idle_since, self.open = 0, 0.0, True
+        self.idle_since, self.open = 0.0, True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -76,29 +83,41 @@
         if attempt is None:
             self.close()  # nothing was asked: what follows could pass for another's answer
             return
-        self.unread += len(data)
+        self.rest = rest = self.rest + data if self.rest else data
         try:
-            self.reader.feed(data)
-            answer = self.reader.gets()
-        except hiredis.ProtocolError as error:
-            log.warning("backend %s: broken answer: %s", attempt.backend, error)
+            end = answer_end(rest)
+            if end < 0:
+                return
+            outcome, value, load = self._meaning(rest[:end])
+        except (BadFrame, hiredis.HiredisError) as error:
+            # Guards against serving what no backend made.  The request has run, or may have, and nothing
+            # more that comes on this connection can be trusted.
+            self.pool.note("backend %s: spoilt answer: %s", attempt.backend, error)
             self.close()
             self.pool.end(attempt, Outcome.ERROR)
             return
-        if answer is NOTHING:
-            if self.unread > LONGEST_ANSWER:
-                log.warning("backend %s: endless answer", attempt.backend)
-                self.close()
-                self.pool.end(attempt, Outcome.ERROR)
-            return
-        self.unread, self.attempt = 0, None
-        if self.reader.has_data():
+        self.rest, self.attempt = b"", None
+        if end < len(rest):
             self.close()
         else:
             self.pool.release(self)
-        outcome, value, load = _meaning(answer)
         self.pool.end(attempt, outcome, value, load)
 
+    def _meaning(self, frame: bytes) -> tuple[Outcome, bytes | None, dict[str, float]]:
+        """The outcome, the value and the load report of a whole answer."""
+        if frame[:1] == b"*":
+            self.reader.feed(frame)
+            answer = self.reader.gets()
+            if len(answer) != 3 or answer[0] is None:
+                raise BadFrame("not a value, figures and a report")
+            return Outcome.OK, answer[0], read_load(answer[2])
+        kind, _, rest = frame[1:-2].partition(b" ")
+        if kind == b"BUSY":
+            return Outcome.FULL, None, read_load(rest)
+        if kind == b"ERR" and rest.partition(b" ")[0] == b"failed":
+            return Outcome.ERROR, None, read_load(rest.rpartition(b" ")[2])
+        raise BadFrame(f"{frame[:80]!r}")
+
     def eof_received(self) -> None:
         self.connection_lost(None)
 
@@ -138,35 +157,28 @@
         self.pool.closed(self)
 
 
-def _meaning(answer: Any) -> tuple[Outcome, bytes | None, dict[str, float]]:
-    """The outcome, the value and the load report of a whole answer."""
-    if isinstance(answer, list):
-        if answer and isinstance(answer[0], bytes):
-            return Outcome.OK, answer[0], _load(answer[2] if len(answer) > 2 else None)
-    elif isinstance(answer, hiredis.ReplyError):
-        text = str(answer)
-        kind, _, rest = text.partition(" ")
-        if kind == "BUSY":
-            return Outcome.FULL, None, _load(rest.rpartition(" ")[2])
-        if kind != "ERR":
-            log.warning("backend answered %.80r", text)
-        return Outcome.ERROR, None, _load(rest.rpartition(" ")[2])
-    # Guards against serving what no backend made: a null or an odd answer is an error; it may have run.
-    return Outcome.ERROR, None, {}
-
-
-def _load(text: Any) -> dict[str, float]:
-    if isinstance(text, bytes):
-        text = text.decode("ascii", "replace")
-    if not isinstance(text, str) or "=" not in text:
-        return {}
+def answer_end(data: bytes) -> int:
+    """Where the answer ends, or -1 if more of it is to come: an array of three, or an error line."""
+    if data[:1] != b"-":
+        return array_end(data, 0, 3, LARGEST, LONGEST_ANSWER, null=True)
+    end = data.find(b"\r\n", 0, LONGEST_LINE)
+    if end < 0 and len(data) >= LONGEST_LINE:
+        raise BadFrame("an endless line")
+    return end + 2 if end >= 0 else -1
+
+
+def read_load(text: bytes | None) -> dict[str, float]:
+    """A load report.  Guards the module against figures that are none: those are left out, one by one."""
     load = {}
-    for part in text.split(","):
+    for part in text.decode("ascii", "replace").split(",") if text else ():
         name, _, figure = part.partition("=")
+        name = LOADS.get(name, name)
         try:
-            load[LOADS.get(name, name)] = float(figure)
+            number = float(figure)
         except ValueError:
             continue
+        if name in KNOWN_LOADS and 0 <= number < inf:
+            load[name] = number
     return load
 
 
@@ -180,6 +192,7 @@
         self.loop = asyncio.get_running_loop()
         self.targets: dict[str, Target] = {}
         self.sockets = 0  # connections open or coming up
+        self.noted = 0  # faults of backends
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
@@ -223,12 +236,21 @@
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
         attempt.timer = self.loop.call_later(left, self._overdue, attempt)
-        while target.idle:
-            connection = target.idle.pop()
-            if not connection.stale():
-                self._write(connection, attempt)
-                return
-            connection.close()
+        self._place(target, attempt, True)
+
+    def _place(self, target: Target, attempt: Attempt, patient: bool) -> None:
+        if attempt.ended:
+            return
+        if self._closed(target):
+            self.end(attempt, Outcome.CONNECT_FAILED)
+            return
+        connection = self._settled(target)
+        if connection is not None:
+            self._write(connection, attempt)
+            return
+        if patient and target.idle:
+            self.loop.call_later(SETTLED, self._place, target, attempt, False)
+            return
         if self.sockets >= self.most and not self._spare():
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
@@ -237,6 +259,25 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _settled(self, target: Target) -> Connection | None:
+        """The idle connection used last.  Guards against what a backend sends behind an answer, a second
+        copy say, and comes in a later read: it would pass for the next answer."""
+        latest = self.clock() - SETTLED
+        for connection in reversed(target.idle[:]):
+            if connection.idle_since > latest:
+                continue
+            if not connection.stale():
+                target.idle.remove(connection)
+                return connection
+            connection.close()
+        return None
+
+    def note(self, text: str, *words: object) -> None:
+        """Guards the log, and the time it takes, against a fault that repeats."""
+        self.noted += 1
+        if self.noted <= LOGGED or self.noted % 100 == 0:
+            log.warning("%d: " + text, self.noted, *words)
+
     def cancel(self, attempt: Attempt) -> None:
         self._give_up(attempt, Outcome.CANCELLED)
 
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -3,37 +3,51 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import re
 import socket
 from collections import deque
 from dataclasses import dataclass
+from math import ceil
 from typing import Any, Protocol, cast
 
 import hiredis
 
 from mulleinhall.interface import RequestClass, Semantics, Settings
 from mulleinhall.net.clock import Clock
+from mulleinhall.net.frames import BadFrame, array_end
 
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of a connection that wait for an answer; more are not read
 LARGEST = 64 * 1024  # bytes of a value
-LONGEST_COMMAND = 256 * 1024  # bytes that come without making a whole command
-MOST_WORDS = 64  # of a command
-MOST_CUSTOMERS = 2 ** 33
-LONGEST_WAIT = 3600_000  # ms; a `d` above is a mistake
+LONGEST_COMMAND = 256 * 1024  # bytes of a command
+MOST_WORDS = 8  # of a command; no known one has more than 5
+MOST_BAD = 8  # malformed commands in a row after which the connection ends
 BACKLOG = 512
+AT_ONCE = 16  # connections accepted in one turn of the loop, and places kept free for them
+SWEEP = 0.25  # s between looks at all connections
+PATIENCE = 2.0  # s for a first command, for the rest of one that has begun, and for reading answers
+SILENT = 0.25  # s after which a connection that has not asked yet goes before one that rests
+RESTED = 2.0  # s after which a connection without an open request may go before a new one
+IDLE = 5.0  # s after which a connection without an open request is closed
+LINGER = 1.0  # s for a client to read its last error, while what it sends is thrown away
+MOST_THROWN = 1024 * 1024  # bytes thrown away on a connection; then it is not read any more
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
-NOTHING = object()  # the reader has no whole command yet
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
+CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 16 hex digits, a number below 2^33
+WORD = re.compile(rb"[!-~]{1,128}")
+WHOLE = re.compile(r"[0-9]{1,9}")
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class BadCommand(Exception):
     """A command that can't be understood; the text says why."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Command:
     """A well-formed request of a client."""
 
@@ -60,32 +74,32 @@
 
 
 class CommandReader:
-    """Reads API.READ and API.WRITE as the settings name classes and plans."""
+    """Reads API.READ and API.WRITE as the settings name classes and plans.
+
+    Guards the buckets against figures that no customer has: what a backend would turn away, or is out of
+    the range that the settings give, never becomes a request.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self.classes: dict[str, RequestClass] = {c.name: c for c in settings.classes}
         self.plans = {p.name for p in settings.plans}
+        self.gateways, self.most_units = settings.gateways, settings.most_units
 
     def read(self, verb: bytes, words: list[bytes]) -> Command:
         write = verb == b"API.WRITE"
         if not (len(words) == 4 or (write and len(words) == 5)):
             raise BadCommand("wrong number of arguments")
-        if any(len(word) > LARGEST for word in words):
-            raise BadCommand("value too large")
-        customer = words[1]
-        try:
-            known = len(customer) == 16 and int(customer, 16) < MOST_CUSTOMERS and customer.isalnum()
-        except ValueError:
-            known = False
-        if not known:
+        if not CUSTOMER.fullmatch(words[1]):
             raise BadCommand("the customer is not a number of 16 hex digits")
-        if not words[2]:
+        if not WORD.fullmatch(words[2]):
             raise BadCommand("no id")
         try:
-            text = words[3].decode("ascii")
-            names = dict(pair.split("=", 1) for pair in text.split(","))
+            pairs = [pair.split("=", 1) for pair in words[3].decode("ascii").split(",")]
+            names = dict(pairs)
         except ValueError:
             raise BadCommand("no list of names and values") from None
+        if len(names) < len(pairs):
+            raise BadCommand("a name stands twice")
         for key in ("c", "t", "d"):
             if key not in names:
                 raise BadCommand(f"{key} is missing")
@@ -98,21 +112,20 @@
             raise BadCommand("the class belongs to the other command")
         if cls.semantics is Semantics.KEYED and not names.get("k"):
             raise BadCommand("k is missing")
-        try:
-            units = float(names.get("units", "1"))
-        except ValueError:
-            units = -1.0
-        if not 0 < units < 1e9:
+        units = names.get("units", "1")
+        if not DECIMAL.fullmatch(units) or not 0 < float(units) <= self.most_units:
             raise BadCommand("bad number: units")
-        return Command(words, customer.decode(), names["c"], names["t"],
-                       _whole(names, "d", LONGEST_WAIT) / 1000, units,
-                       max(1, _whole(names, "spread", 1 << 20, 1)), _whole(names, "first", 1 << 20, 0),
-                       names.get("r") == "1", write)
+        if names.get("r", "0") not in ("0", "1"):
+            raise BadCommand("bad number: r")
+        return Command(words, words[1].decode().lower(), names["c"], names["t"],
+                       _whole(names, "d", 1, ceil(cls.deadline * 1000)) / 1000, float(units),
+                       _whole(names, "spread", 1, self.gateways),
+                       _whole(names, "first", 0, self.gateways - 1), names.get("r") == "1", write)
 
 
-def _whole(names: dict[str, str], key: str, most: int, default: int = 0) -> int:
-    text = names.get(key, str(default))
-    if not (text.isascii() and text.isdecimal() and len(text) < 12 and int(text) <= most):
+def _whole(names: dict[str, str], key: str, least: int, most: int) -> int:
+    text = names.get(key, str(least))
+    if not WHOLE.fullmatch(text) or not least <= int(text) <= most:
         raise BadCommand(f"bad number: {key}")
     return int(text)
 
@@ -146,66 +159,76 @@
 
     def __init__(self, server: Clients) -> None:
         self.server = server
-        self.reader = hiredis.Reader(notEnoughData=NOTHING)
+        self.reader = hiredis.Reader()
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
-        self.unread, self.arrived, self.used = 0, 0.0, server.clock()
-        self.full, self.choked, self.ending = False, False, False
+        self.rest = b""  # what came and is no whole command yet, or is not read yet
+        self.arrived = self.used = server.clock()
+        self.since: float | None = None  # when the command began that has come in part only
+        self.choked_at: float | None = None  # since when the client has not read its answers
+        self.bad, self.thrown, self.full, self.ending = 0, 0, False, False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
+        self.used = self.server.clock()
+        self.server.fresh[self] = None
         if self.server.draining:
             # Guards against a connection accepted last that would stay: its request may be on the way.
             self.server.loop.call_later(LAST_CHANCE, self._end_if_idle)
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
+            self._throw(len(data))
             return
-        self.arrived = self.used = self.server.clock()
-        self.unread += len(data)
-        if data[:1] == b"*" and not self.reader.has_data():
-            # Guards the loop against a frame that claims a billion words: the parser makes room for them all.
-            count = data[1:16].partition(b"\r")[0]
-            if count.isdigit() and int(count) > MOST_WORDS:
-                self._broken("too many words")
-                return
-        try:
-            self.reader.feed(data)
-        except (hiredis.HiredisError, MemoryError) as error:
-            self._broken(str(error))
-            return
+        self.arrived = self.server.clock()
+        self.server.held += len(data)
+        self.rest = self.rest + data if self.rest else data
         self._parse()
+        if self.rest and self.server.held > self.server.most_held and not self.ending:
+            # Guards the memory: large commands that come in part only, on many connections at once.
+            self._broken("too much is on the way")
 
     def _parse(self) -> None:
-        while self.transport is not None and not self.ending and not self.choked:
-            if len(self.slots) >= MOST_PIPELINED:
-                self.full = True
+        data, self.rest, at, whole = self.rest, b"", 0, True
+        self.server.held -= len(data)
+        while self.transport is not None and not self.ending and self.choked_at is None:
+            self.full = len(self.slots) >= MOST_PIPELINED
+            if self.full or at == len(data):
                 break
             try:
+                end = array_end(data, at, MOST_WORDS, LARGEST, LONGEST_COMMAND)
+                if end < 0:
+                    whole = False
+                    break
+                self.reader.feed(data[at:end])
                 words = self.reader.gets()
-            except (hiredis.HiredisError, MemoryError) as error:
-                self._broken(f"broken frame: {error}")
-                return
-            if words is NOTHING:
-                if self.unread > LONGEST_COMMAND:
-                    self._broken("value too large")
+            except (BadFrame, hiredis.HiredisError) as error:
+                self._broken(str(error))
                 break
-            self.unread = 0
-            if not isinstance(words, list):
-                self._broken("a command is an array of bulk strings")
-                return
+            at, self.since = end, None
             self._command(words)
+        if not self.ending and self.transport is not None:
+            self.rest = data[at:]
+            self.server.held += len(self.rest)
+        if whole:
+            self.since = None
+        elif self.since is None:
+            self.since = self.arrived
         self._pace()
 
-    def _command(self, words: list[Any]) -> None:
+    def _command(self, words: list[bytes]) -> None:
         slot = Slot(self)
+        if not self.slots:
+            self.server.busy(self)
         self.slots.append(slot)
         try:
-            if not words or not all(isinstance(w, bytes) for w in words):
+            if not words:
                 raise BadCommand("a command is an array of bulk strings")
             verb = words[0].upper()
             if verb in (b"API.READ", b"API.WRITE"):
-                self.server.handler.request(slot, self.server.commands.read(verb, words), self.arrived)
+                command = self.server.commands.read(verb, words)
+                self.bad = 0
+                self.server.handler.request(slot, command, self.arrived)
             elif verb == b"PING" and len(words) <= 2:
                 slot.answer(bulk(words[1]) if len(words) == 2 else PONG)
             elif verb in (b"CLIENT", b"SELECT"):
@@ -213,6 +236,8 @@
             else:
                 raise BadCommand("unknown command")
         except BadCommand as error:
+            self.bad += 1
+            self.ending = self.bad >= MOST_BAD  # it does not learn: the others' time is not for it
             self.server.note(str(error))
             slot.answer(b"-ERR %b\r\n" % str(error).encode())
         except Exception:
@@ -224,10 +249,20 @@
         """Nothing that follows can be understood: the connection ends after the answers that are owed."""
         self.server.note(why)
         self.ending = True
+        self.server.held -= len(self.rest)
+        self.rest = b""
+        if not self.slots:
+            self.server.busy(self)
         slot = Slot(self)
         self.slots.append(slot)
         slot.answer(b"-ERR %b\r\n" % why.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" "))
 
+    def _throw(self, size: int) -> None:
+        """Guards the last error against the reset that unread input would make of the close."""
+        self.thrown += size
+        if self.thrown > MOST_THROWN and self.transport is not None:
+            self.transport.pause_reading()
+
     def flush(self) -> None:
         ready = []
         while self.slots and self.slots[0].data is not None:
@@ -235,10 +270,14 @@
         if self.transport is None or not ready:
             return
         self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
-        self.used = self.server.clock()
-        if not self.slots and (self.ending or self.server.draining):
-            self.end()
-        elif self.full and len(self.slots) <= MOST_PIPELINED // 2:
+        if not self.slots:
+            self.used = self.server.clock()
+            self.server.rests(self)
+            if self.ending:
+                self.transport.write_eof()
+            elif self.server.draining:
+                self.end()
+        if self.full and not self.ending and len(self.slots) <= MOST_PIPELINED // 2:
             self.full = False
             self.server.loop.call_soon(self._parse)
 
@@ -251,21 +290,38 @@
         if self.transport is not None:
             self.transport.close()
 
+    def look(self, now: float) -> None:
+        """Ends a client that keeps its place for nothing; each limit runs from when the wait began, so that
+        a byte now and then does not draw it out."""
+        if self.transport is None:
+            return
+        if self.ending and not self.slots:
+            if now - self.used > LINGER:
+                self.transport.abort()
+        elif self.choked_at is not None:
+            if now - self.choked_at > PATIENCE:
+                self.transport.abort()
+        elif self.since is not None:
+            if now - self.since > PATIENCE:
+                self._broken("the rest of the command did not come")
+        elif not self.slots and now - self.used > (PATIENCE if self in self.server.fresh else IDLE):
+            self.end()
+
     def _pace(self) -> None:
         """Back-pressure: a client that does not read its answers, or sends far ahead, is not read."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or self.ending:
             return
-        if self.full or self.choked:
+        if self.full or self.choked_at is not None:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
 
     def pause_writing(self) -> None:
-        self.choked = True
+        self.choked_at = self.server.clock()
         self._pace()
 
     def resume_writing(self) -> None:
-        self.choked = False
+        self.choked_at = None
         self.server.loop.call_soon(self._parse)
 
     def eof_received(self) -> None:
@@ -278,6 +334,9 @@
     def gone(self) -> None:
         """The client went away: nobody waits for what is open."""
         self.transport, slots, self.slots = None, self.slots, deque()
+        self.server.held -= len(self.rest)
+        self.rest = b""
+        self.server.busy(self)
         for slot in slots:
             if slot.data is None:
                 slot.data = b""
@@ -285,15 +344,24 @@
 
 
 class Clients:
-    """The listener and all connections of clients, no more than `most`."""
+    """The listener and all connections of clients, no more than `most`.
+
+    Those without an open request stand in one of three lines, the longest waiting first: who ends, who
+    has asked nothing yet, who has.  From these come the ones that make room for new ones.
+    """
 
-    def __init__(self, address: tuple[str, int], most: int, settings: Settings, handler: Handler,
-                 clock: Clock) -> None:
+    def __init__(self, address: tuple[str, int], most: int, most_held: int, settings: Settings,
+                 handler: Handler, clock: Clock) -> None:
         self.loop, self.clock, self.most, self.handler = asyncio.get_running_loop(), clock, most, handler
         self.commands = CommandReader(settings)
         self.connections: set[Client] = set()
+        self.ended: dict[Client, None] = {}
+        self.fresh: dict[Client, None] = {}
+        self.idle: dict[Client, None] = {}
+        self.held, self.most_held = 0, most_held  # bytes that came and are no command yet
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.draining, self.waiting, self.bad = False, False, 0
+        self.draining, self.waiting, self.bad, self.short = False, False, 0, 0
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setblocking(False)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -303,15 +371,22 @@
         self.listener.listen(BACKLOG)
         self.loop.add_reader(self.listener, self._accept)
 
-    def _accept(self) -> None:
-        while True:
+    def _accept(self) -> bool:
+        """Accepts some; whether there may be more."""
+        for _ in range(AT_ONCE):
+            if len(self.connections) >= self.most:
+                # Guards against running out of descriptors: new ones wait until one has left.
+                self._wait()
+                return False
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as error:
-                log.warning("accept: %s", error)
-                return
+                if error.errno != errno.ECONNABORTED:
+                    self.shortage("accept", error)
+                    self._wait()
+                return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = Client(self)
@@ -319,11 +394,20 @@
             task = self.loop.create_task(self._attach(client, sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-            if len(self.connections) >= self.most and not self._spare():
-                # Guards against running out of descriptors: new ones wait until one leaves.
-                self.loop.remove_reader(self.listener)
-                self.waiting = True
-                return
+            if len(self.connections) > self.most - max(1, min(AT_ONCE, self.most // 8)):
+                self._spare()
+        return True
+
+    def _wait(self) -> None:
+        """The listener is looked at again when a connection has left, or at the next sweep."""
+        if not self.waiting:
+            self.waiting = True
+            self.loop.remove_reader(self.listener)
+
+    def _go_on(self) -> None:
+        if self.waiting and not self.draining:
+            self.waiting = False
+            self.loop.add_reader(self.listener, self._accept)
 
     async def _attach(self, client: Client, sock: socket.socket) -> None:
         try:
@@ -333,13 +417,39 @@
             sock.close()
             self.left(client)
 
-    def _spare(self) -> bool:
-        """Makes room by closing the connection that has been idle longest."""
-        idle = [c for c in self.connections if not c.slots and c.transport and not c.transport.is_closing()]
-        oldest = min(idle, key=lambda c: c.used, default=None)
-        if oldest is not None:
-            oldest.end()
-        return oldest is not None
+    def shortage(self, where: str, error: OSError) -> None:
+        self.short += 1
+        if self.short <= LOGGED or self.short % 1000 == 0:
+            log.warning("%s: %s", where, error)
+
+    def busy(self, client: Client) -> None:
+        """The client stands in no line."""
+        self.ended.pop(client, None)
+        self.fresh.pop(client, None)
+        self.idle.pop(client, None)
+
+    def rests(self, client: Client) -> None:
+        """The client has no open request any more."""
+        (self.ended if client.ending else self.idle)[client] = None
+
+    def _spare(self) -> None:
+        """Makes room by closing the connection that is missed least."""
+        now = self.clock()
+        for line, age in ((self.ended, 0.0), (self.fresh, SILENT), (self.idle, RESTED), (self.fresh, 0.0),
+                          (self.idle, 0.0)):
+            client = next(iter(line), None)
+            if client is not None and now - client.used >= age:
+                self.busy(client)
+                if client.transport is not None:
+                    client.transport.abort()
+                return
+
+    def _sweep(self) -> None:
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        now = self.clock()
+        for client in list(self.connections):
+            client.look(now)
+        self._go_on()
 
     def _close_listener(self) -> None:
         if self.listener.fileno() >= 0:
@@ -348,9 +458,7 @@
 
     def left(self, client: Client) -> None:
         self.connections.discard(client)
-        if self.waiting and not self.draining:
-            self.waiting = False
-            self.loop.add_reader(self.listener, self._accept)
+        self._go_on()
 
     def note(self, why: str) -> None:
         self.bad += 1
@@ -359,15 +467,16 @@
 
     def drain(self) -> None:
         """Accepts what has come, closes the listener, and each connection as it falls idle."""
-        if not self.waiting:
-            self._accept()
         self.draining = True
+        while not self.waiting and self._accept():
+            pass
         self._close_listener()
         for client in list(self.connections):
             if not client.slots:
                 client.end()
 
     def close(self) -> None:
+        self.sweeper.cancel()
         self._close_listener()
         for client in list(self.connections):
             client.end()
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -16,6 +16,7 @@
 
 SPARE_FILES = 48  # descriptors that are no peer's: standard streams, the loop's own, counter, discovery
 LEAST_SOCKETS = 64
+PROGRAM_MB = 26  # what the program takes before it serves, and the module's knowledge of customers
 
 
 class BadConfig(Exception):
@@ -36,6 +37,7 @@
     connect_timeout: float
     idle_time: float  # after which a backend closes an idle connection
     most_open: int
+    most_held: int  # bytes that each of requests, unread input and unread answers may take
 
 
 def _get(source: Mapping[str, Any], key: str, kind: type[T]) -> T:
@@ -88,6 +90,8 @@
     sockets = int(_positive(_get(source, "limits", dict), "sockets", 1024))
     if sockets < LEAST_SOCKETS:
         raise BadConfig(f"limits.sockets: {sockets} is too few, {LEAST_SOCKETS} are needed")
+    # Guards against the memory limit: a third each of half of what the program itself leaves.
+    room = _positive(_get(source, "limits", dict), "memory_mb", 1024) - PROGRAM_MB
     counter = _get(source, "counter", str) if settings.counter else None
     # Guards against running out of descriptors: all parts together stay under the limit.
     share = (sockets - min(SPARE_FILES, sockets // 2)) // 2
@@ -99,4 +103,5 @@
         seed=number, client_sockets=share, backend_sockets=share, known=known, settings=settings,
         connect_timeout=_positive(limits, "connect-timeout-s", 0.25),
         idle_time=_positive(limits, "keepalive-s", 15.0),
-        most_open=int(_positive(limits, "max-open", 20000)))
+        most_open=int(_positive(limits, "max-open", 20000)),
+        most_held=int(max(1.0, room / 6) * 1024 * 1024))
--- /dev/null
+++ b/mulleinhall/net/frames.py
@@ -0,0 +1,62 @@
+"""Cuts a stream of RESP2 into whole frames before anything is made of them."""
+
+from __future__ import annotations
+
+LONGEST_HEADER = 16  # bytes of a line that holds a count or a length
+ARRAY, STRING = ord("*"), ord("$")
+
+
+class BadFrame(Exception):
+    """What came is no frame, or one beyond the limits; nothing behind it can be understood."""
+
+
+def _part(data: bytes, at: int, mark: int) -> None:
+    """A header that is no figure from 0 up: returns if it may still become one."""
+    text = data[at:at + LONGEST_HEADER].partition(b"\r")
+    if text[0] and text[0][0] != mark:
+        raise BadFrame("not an array of bulk strings")
+    if text[0][1:2] == b"-":
+        raise BadFrame("broken frame: a length below nothing")
+    if (text[0][1:] and not text[0][1:].isdigit()) or text[2] not in (b"", b"\n"):
+        raise BadFrame("broken frame: a length that is no number")
+    if len(data) - at >= LONGEST_HEADER or text[2]:
+        raise BadFrame("broken frame: a length too large or none")
+
+
+def array_end(data: bytes, at: int, words: int, largest: int, total: int, null: bool = False) -> int:
+    """Where the array of bulk strings that starts at `at` ends, or -1 if more of it is to come.
+
+    Guards against counts and lengths that a peer only claims: each is judged as soon as its header is
+    here, and the parser, which makes room for whatever a header says, gets whole frames only.
+    """
+    find, most = data.find, at + total
+    end = find(b"\r\n", at, at + LONGEST_HEADER)
+    text = data[at + 1:end]
+    if end < 0 or data[at] != ARRAY or not text.isdigit():
+        _part(data, at, ARRAY)
+        return -1
+    count, at = int(text), end + 2
+    if count > words:
+        raise BadFrame("too many words")
+    for _ in range(count):
+        end = find(b"\r\n", at, at + LONGEST_HEADER)
+        text = data[at + 1:end]
+        if end < 0 or data[at] != STRING or not text.isdigit():
+            if null and b"$-1\r\n".startswith(data[at:at + 5]):
+                if end < 0:
+                    return -1
+                at = end + 2
+                continue
+            _part(data, at, STRING)
+            return -1
+        size = int(text)
+        at = end + 2 + size
+        if size > largest or at > most:
+            raise BadFrame("value too large")
+        tail = data[at:at + 2]
+        if tail != b"\r\n":
+            if not b"\r\n".startswith(tail):
+                raise BadFrame("broken frame: a length that does not fit")
+            return -1
+        at += 2
+    return at
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -12,7 +12,7 @@
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
 from mulleinhall.net.backends import Attempt, Backends
-from mulleinhall.net.clients import Clients, Command, Slot, bulk
+from mulleinhall.net.clients import BadCommand, Clients, Command, Slot, bulk
 from mulleinhall.net.clock import Clock, unix_clock
 from mulleinhall.net.config import Config
 from mulleinhall.net.counter import Counter
@@ -22,7 +22,6 @@
 
 MARGIN = 0.020  # s before the client's time is up: when the module's time is up
 LAST_MARGIN = 0.005  # s before the client's time is up: when a final answer is forced
-MOST_HELD = 48 * 1024 * 1024  # bytes of commands that wait for an answer
 BASE_COST = 2048  # bytes that an open request takes beside its command
 GOES_ON = 0.5  # s that connections are accepted after SIGTERM
 KILL_AFTER = 0.7  # s that SIGKILL leaves beside the longest deadline, which counts MOST_DEADLINE at most
@@ -53,6 +52,7 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(self.settings, config.seed)
         self.open: dict[str, Open] = {}
+        self.ids: set[bytes] = set()  # the clients' own, of requests that have no answer yet
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self.held, self.count = 0, 0
         self.events: deque[api.Event] = deque()
@@ -63,7 +63,8 @@
                                  self.settings.drain_grace, self.clock, self.ended)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
-        self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock)
+        self.clients = Clients(config.listen, config.client_sockets, config.most_held, self.settings, self,
+                               self.clock)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
@@ -120,13 +121,16 @@
     # Clients
 
     def request(self, slot: Slot, command: Command, arrived: float) -> None:
-        if len(self.open) >= self.config.most_open or self.held > MOST_HELD:
+        if command.words[2] in self.ids:
+            raise BadCommand("the id belongs to an open request")
+        if len(self.open) >= self.config.most_open or self.held > self.config.most_held:
             slot.answer(BUSY)  # the settings' limit on open requests; nothing has run
             return
         self.count += 1
-        slot.key = key = str(self.count)  # a client's ids need not be new
+        slot.key = key = str(self.count)  # a client's id may come again once its request is over
         request = self.open[key] = Open(key, slot, command, arrived + command.wait)
         self.held += request.size
+        self.ids.add(command.words[2])
         left = request.deadline - self.clock()
         request.timer = self.loop.call_later(max(0.0, left - LAST_MARGIN), self._expired, request)
         # A fixed margin, so that the module sees the same wait as the client named.
@@ -157,6 +161,7 @@
 
     def _over(self, request: Open) -> None:
         request.answered = True
+        self.ids.discard(request.command.words[2])
         if request.timer is not None:
             request.timer.cancel()
 
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -10,7 +10,7 @@
 
 from mulleinhall.interface import Backend, Outcome, Readiness
 from mulleinhall.net import backends as module
-from mulleinhall.net.backends import Attempt, Backends
+from mulleinhall.net.backends import Attempt, Backends, answer_end, read_load
 from mulleinhall.net.clock import unix_clock
 from tests.peers import Address, Peer, Reader, Writer, backend, read_command, run, until, value
 
@@ -174,6 +174,7 @@
             pool.send()
             await pool.end(2)
             latest = pool.pool.targets["s0"].idle[-1]
+            pool.skipped = module.SETTLED
             attempt = pool.send()
             assert attempt.connection is latest
             await pool.end(3)
@@ -213,6 +214,72 @@
     run(body())
 
 
+def test_noise_in_a_later_read_is_not_taken_for_the_next_answer() -> None:
+    """The next request is there at once, but its connection is not used before it has settled."""
+    async def script(number: int, reader: Reader, writer: Writer) -> None:
+        while True:
+            await read_command(reader)
+            writer.write(value(b"%d" % number))
+            if number == 0:
+                await until(lambda: len(made[0].ends) == 1)
+                writer.write(value(b"noise"))
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            pool = Pool(peer.address)
+            made.append(pool)
+            told = pool.pool.ended
+
+            def ended(*words: Any) -> None:
+                told(*words)
+                if len(pool.ends) == 1:
+                    pool.send()
+
+            pool.pool.ended = ended
+            pool.send()
+            assert await pool.end() == (Outcome.OK, b"0")
+            assert await pool.end(2) == (Outcome.OK, b"1")
+
+    made: list[Pool] = []
+    run(body())
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"*1000000000\r\n", b"*3\r\n$3000000000\r\nxx", b"*3\r\n$65537\r\n", b"x" * 100,
+    b"*2\r\n$1\r\nx\r\n$-1\r\n",
+    b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"*3\r\n$2\r\nvalue\r\n", b"-SYNTAX\r\n", b"-ERR what\r\n",
+    b"-" + b"x" * 2000,
+    b"*3\r\n*3\r\n", b"+OK\r\n", b"$5\r\nhello\r\n", b"-\xff\xfe\r\n", b"*3\r\n$1\r\nx\r\n$-2\r\n", b"*x\r\n",
+])
+def test_a_spoilt_answer_may_have_run_and_its_connection_is_not_used_again(spoilt: bytes) -> None:
+    async def body() -> None:
+        async with backend(spoilt) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (Outcome.ERROR, None)
+            assert pool.pool.sockets == 0
+            await until(lambda: peer.ended)
+
+    run(body())
+
+
+def test_an_answer_that_comes_byte_by_byte() -> None:
+    whole = b"*3\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n"
+    assert [answer_end(whole[:n]) for n in range(len(whole))] == [-1] * len(whole)
+    assert answer_end(whole + b"*") == len(whole)
+    line = b"-ERR failed\r\n"
+    assert [answer_end(line[:n]) for n in range(len(line))] == [-1] * len(line)
+
+
+@pytest.mark.parametrize(("text", "load"), [
+    (b"inflight=7,queue=2", {"inflight": 7.0, "queue": 2.0}), (b"inflight=x,queue=2", {"queue": 2.0}),
+    (b"inflight=nan,util=inf,queue=-1,qps=3", {"qps": 3.0}), (b"what=1,__class__=2", {}),
+    (b"\xff\xfe", {}), (b"", {}), (None, {}), (b"cpu=0.5", {"util": 0.5}),
+])
+def test_a_load_report_loses_what_is_no_figure(text: bytes | None, load: dict[str, float]) -> None:
+    assert read_load(text) == load
+
+
 def test_idle_connections_are_closed_before_the_backend_does(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "SWEEP", 0.01)
 
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -125,6 +125,12 @@
     run(body())
 
 
+def swap(old: bytes, new: bytes) -> bytes:
+    """A command with another list of names and values, whose length is right."""
+    names = b"c=read,t=basic,d=2000,units=1,spread=1,first=0"
+    return resp(b"API.READ", b"%016x" % 7, b"id", names.replace(old, new))
+
+
 @pytest.mark.parametrize(("data", "why"), [
     (resp(b"GET", b"x"), "unknown command"), (resp(b"API.READ"), "arguments"),
     (command(cls="read").replace(b"c=read", b"c=what"), "unknown class"),
@@ -132,11 +138,18 @@
     (command().replace(b"units=1", b"units=x"), "units"),
     (command().replace(b"units=1", b"units=0"), "units"),
     (command().replace(b"spread=1", b"spread=_"), "spread"),
-    (command().replace(b"first=0", b"first=-"), "first"),
+    (command().replace(b"first=0", b"first=-"), "first"), (swap(b"first=0", b"first=1"), "first"),
+    (swap(b"spread=1", b"spread=2"), "spread"), (swap(b"spread=1", b"spread=0"), "spread"),
+    *((swap(b"units=1", b"units=" + units), "bad number: units")
+      for units in (b"2", b"nan", b"inf", b"1_0", b"1e0", b"-1", b"+1", b" 1", b"")),
+    (command(d=0), "bad number: d"), (command(d=2001), "bad number: d"),
+    (swap(b"d=2", b"d=-2"), "bad number: d"),
+    (command(extra=",d=5"), "twice"), (command(extra=",r=2"), "bad number: r"),
+    (command(""), "no id"), (command("a b"), "no id"), (command("x" * 129), "no id"),
+    (command().replace(b"%016x" % 7, b"0x" + b"0" * 13 + b"7"), "customer"),
     (command(customer=2 ** 33), "customer"), (command().replace(b"%016x" % 7, b"z" * 16), "customer"),
     (command(verb="API.WRITE", body=b"x"), "other command"),
-    (command(cls="order", body=b"x" * 65537), "too large"),
-    (command().replace(b"c=read,", b"c-read,"), "names and values"), (b"*1\r\n:5\r\n", "bulk strings"),
+    (command().replace(b"c=read,", b"c-read,"), "names and values"),
     (b"*0\r\n", "bulk strings"), (command(cls="order").replace(b",k=", b",j="), "k is missing"),
 ])
 def test_a_malformed_command_is_told_and_logged_and_the_connection_goes_on(
@@ -155,7 +168,9 @@
 
 
 @pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n", b"+PING\r\n", b"*x\r\n", b"*1\r\n$x\r\n",
-                                  b"*4000000000\r\n", b"*1\r\n$900000\r\n" + b"x" * 800_000])
+                                  b"*4000000000\r\n", b"*1\r\n$900000\r\n" + b"x" * 800_000, b"*1\r\n:5\r\n",
+                                  b"*1\r\n$-1\r\n", b"*-1\r\n", b"*1\r\n$3\r\nPINGS\r\n", b"*1\r\n$65537\r\n",
+                                  b"*1000000000\r\n", b"*1\r\n$99999999999999999", b"x" * 100])
 def test_a_broken_frame_ends_the_connection_after_the_answers_owed(data: bytes) -> None:
     made: list[Ingress] = []
 
@@ -326,7 +341,7 @@
             other = await Caller.to(address)
             caller.writer.write(command())
             await until(lambda: peer.commands)
-            assert str(await other.ask(command())) == "BUSY"
+            assert str(await other.ask(command("other"))) == "BUSY"
 
     run(body())
 
@@ -367,6 +382,173 @@
     run(body())
 
 
+@pytest.mark.parametrize("sent", [b"", b"*", b"*4\r\n$8\r\nAPI.R", b"*1\r\n$4\r\nPIN"])
+def test_a_client_that_stays_silent_or_halfway_is_ended(sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "PATIENCE", 0.2)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            caller = await Caller.to(address)
+            caller.writer.write(sent)
+            told = await caller.reader.read()  # to the end of the connection
+            assert told.startswith(b"-ERR ") is bool(sent)
+            caller.writer.close()
+            await until(lambda: not served.clients.connections)
+            assert not served.clients.held
+
+    run(body())
+
+
+def test_bytes_that_drip_do_not_draw_a_command_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time of a command that comes in part runs from its first byte, not from its latest."""
+    monkeypatch.setattr(clients, "PATIENCE", 0.3)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+
+    async def body() -> None:
+        async with serving(config()) as (_, address):
+            caller = await Caller.to(address)
+            told = asyncio.create_task(caller.reader.read())
+            for byte in command(request="1" * 100):
+                if told.done():
+                    break
+                caller.writer.write(bytes([byte]))
+                await asyncio.wait({told}, timeout=0.05)
+            assert (await told).startswith(b"-ERR ")
+
+    run(body())
+
+
+def test_an_idle_client_is_closed_and_a_busy_one_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("PATIENCE", "IDLE", "SWEEP"):
+        monkeypatch.setattr(clients, name, 0.05)
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        words = await read_command(reader)
+        await until(lambda: ended)
+        writer.write(value(words[2]))
+        await reader.read()
+
+    async def body() -> None:
+        async with Peer(script) as peer, serving(config(entry(peer.address))) as (_, address):
+            idle, busy = await Caller.to(address), await Caller.to(address)
+            busy.writer.write(command("busy"))
+            assert await idle.ask(resp(b"PING")) == b"PONG"
+            with pytest.raises((EOFError, ConnectionError)):
+                await idle.answer()
+            ended.append(True)
+            assert await busy.answer() == b"busy"
+
+    ended: list[bool] = []
+    run(body())
+
+
+def test_a_client_that_does_not_read_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "PATIENCE", 0.1)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            sock = socket.create_connection(address)
+            sock.setblocking(False)
+            await until(lambda: served.clients.connections)
+            loop, text = asyncio.get_running_loop(), resp(b"PING", b"x" * 60_000)
+
+            async def send() -> None:
+                while True:
+                    await loop.sock_sendall(sock, text)
+
+            with pytest.raises(ConnectionError):
+                await send()
+            sock.close()
+            await until(lambda: not served.clients.connections)
+
+    run(body())
+
+
+def test_silent_clients_do_not_keep_others_out() -> None:
+    """Hundreds connect and say nothing: they go first, those that have asked stay."""
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            served.clients.most = 40
+            usual = await Caller.to(address)
+            assert await usual.ask(resp(b"PING")) == b"PONG"
+            silent = [await Caller.to(address) for _ in range(200)]
+            late = await Caller.to(address)
+            for _ in range(3):
+                assert await late.ask(resp(b"PING")) == b"PONG"
+                assert await usual.ask(resp(b"PING")) == b"PONG"
+            assert len(served.clients.connections) <= 40
+            for caller in silent:
+                caller.writer.close()
+
+    run(body())
+
+
+def test_a_client_that_repeats_bad_commands_is_ended() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            caller = await Caller.to(address)
+            caller.writer.write(resp(b"NO") * 300)
+            for _ in range(clients.MOST_BAD):
+                assert isinstance(await caller.answer(), hiredis.ReplyError)
+            with pytest.raises((EOFError, ConnectionError)):
+                await caller.answer()
+            assert served.clients.bad == clients.MOST_BAD
+
+    run(body())
+
+
+def test_an_error_is_delivered_though_more_keeps_coming(monkeypatch: pytest.MonkeyPatch) -> None:
+    """60 MB behind a length that is refused: little of it is read, and the peer still sees why."""
+    monkeypatch.setattr(clients, "LINGER", 0.2)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            caller = await Caller.to(address)
+            caller.writer.write(b"*5\r\n$60000000\r\n")
+            assert "too large" in str(await caller.answer())
+            client = next(iter(served.clients.connections))
+            caller.writer.write(bytes(60_000_000))
+            await until(lambda: not served.clients.connections)
+            assert client.thrown < 2 * clients.MOST_THROWN
+            caller.writer.transport.abort()
+
+    run(body())
+
+
+def test_an_id_that_is_open_is_not_taken_twice() -> None:
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            served.gateway = Stub(send)  # type: ignore[assignment]
+            one, two = await Caller.to(address), await Caller.to(address)
+            one.writer.write(command("same", d=300))
+            await until(lambda: peer.commands)
+            assert "open request" in str(await two.ask(command("same")))
+            assert str(await one.answer()) == "ERR failed"
+            two.writer.write(command("same", d=300))  # its first bearer is over
+            assert str(await two.answer()) == "ERR failed"
+            assert len(peer.commands) == 2 and not served.ids
+
+    run(body())
+
+
+def test_unread_input_is_bounded_over_all_connections() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            served.clients.most_held = 100_000
+            part = b"*5\r\n$9\r\nAPI.WRITE\r\n$60000\r\n" + b"x" * 50_000
+            callers = [await Caller.to(address) for _ in range(2)]
+            callers[0].writer.write(part)
+            await until(lambda: served.clients.held >= 50_000)
+            callers[1].writer.write(part)
+            assert "on the way" in str(await callers[1].answer())
+            assert served.clients.held <= 100_000
+
+    run(body())
+
+
 def test_a_connection_accepted_as_the_listener_closes_is_served_and_then_ended() -> None:
     async def body() -> None:
         async with serving(config()) as (served, address):
--- a/tests/test_net_restart.py
+++ b/tests/test_net_restart.py
@@ -11,11 +11,13 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from mulleinhall.net import ingress
 from tests.peers import (
+    SETTINGS,
     Address,
     Caller,
     Peer,
@@ -41,11 +43,13 @@
 
 
 @asynccontextmanager
-async def program(peer: Peer, path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, Address]]:
+async def program(peer: Peer, path: Path, settings: dict[str, Any] = SETTINGS) -> AsyncIterator[
+        tuple[asyncio.subprocess.Process, Address]]:
     address = ("127.0.0.1", free_port())
     path = path / "config.json"
     fleet = (entry(peer.address, f"s{n}") for n in range(8))
-    path.write_text(config_text(*fleet, listen=f"127.0.0.1:{address[1]}"), encoding="utf-8")
+    path.write_text(config_text(*fleet, settings=settings, listen=f"127.0.0.1:{address[1]}"),
+                    encoding="utf-8")
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)})
     try:
@@ -101,15 +105,15 @@
 
 def test_what_is_still_open_is_answered_before_sigkill(tmp_path: Path) -> None:
     async def body() -> None:
-        async with backend(b"") as peer, program(peer, tmp_path) as (process, address):
+        patient = SETTINGS | {"categories": [c | {"give-up-s": 60.0} for c in SETTINGS["categories"]]}
+        async with backend(b"") as peer, program(peer, tmp_path, patient) as (process, address):
             caller = await Caller.to(address)
             caller.writer.write(command(d=60_000))
             process.send_signal(signal.SIGTERM)
             at = time.monotonic()
             assert str(await caller.answer()) == "ERR failed"
             assert await process.wait() == 0
-            longest = 2.0  # the longest deadline in the settings
-            assert time.monotonic() - at < longest + ingress.KILL_AFTER
+            assert time.monotonic() - at < ingress.MOST_DEADLINE + ingress.KILL_AFTER
 
     run(body())
 
