Counter: several connections, strange answers end theirs; d a little above is taken

Guess: answers wait for those of a slow part, as all are owed in order on one connection. A probe of each call showed bursts of answers, but also that a call alone takes 17 to 20 ms, calls in a row that much apart: the counter itself is the limit.

- Up to 8 connections, the call goes where fewest are out.
- An answer that makes no sense (also nan, inf, none) ends its connection; the amount counts as added, as the protocol has it.
Each connection has its own idle limit.
Up to twice the class's time is taken now.

--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -118,7 +118,8 @@
         if names.get("r", "0") not in ("0", "1"):
             raise BadCommand("bad number: r")
         return Command(words, words[1].decode().lower(), names["c"], names["t"],
-                       _whole(names, "d", 1, ceil(cls.deadline * 1000)) / 1000, float(units),
+                       # A client that is late itself counts its wait from when it should have sent.
+                       _whole(names, "d", 1, ceil(2 * cls.deadline * 1000)) / 1000, float(units),
                        _whole(names, "spread", 1, self.gateways),
                        _whole(names, "first", 0, self.gateways - 1), names.get("r") == "1", write)
 
--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -1,9 +1,10 @@
-"""The counter: calls on one kept connection, pipelined, matched to their answers by order."""
+"""The counter: calls on a few kept connections, pipelined, matched to their answers by order."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -14,9 +15,13 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT = 0.25  # s
+TOTAL = re.compile(rb"ok (-?[0-9]{1,18}(?:\.[0-9]{1,18})?(?:[eE][-+]?[0-9]{1,2})?)")
 IDLE = 8.0  # s: the counter closes a connection that is idle for about 10
+MOST_LINKS = 8  # of the 32 connections that the counter holds of one ingress
 SILENT = 6  # time-outs: a connection that owes an answer for this long is replaced
 MOST_WAITING = 2000  # calls that wait for an answer or a connection; more are turned away
+LONGEST_LINE = 256  # bytes of an answer
+LOGGED = 20  # faults that are logged one by one; of later ones, every hundredth
 
 
 class Call:
@@ -36,6 +41,8 @@
     def __init__(self, owner: Counter) -> None:
         self.owner = owner
         self.transport: asyncio.Transport | None = None
+        self.used = 0.0  # when it was last written to
+        self.idle_timer: asyncio.TimerHandle | None = None
         self.calls: deque[Call] = deque()  # written and not answered, in order
         self.rest, self.retired = b"", False
 
@@ -46,14 +53,16 @@
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             if not self.calls:
-                log.warning("counter: an answer that nothing asked for")
+                self.owner.note("an answer that nothing asked for")
+                self.drop()
+                return
+            if not self.owner.answered(self.calls.popleft(), line.strip()):
                 self.drop()
                 return
-            self.owner.answered(self.calls.popleft(), line.strip())
         if self.retired and not self.calls:
             self.drop()
-        if len(self.rest) > 4096:
-            log.warning("counter: an endless line")
+        if len(self.rest) > LONGEST_LINE:
+            self.owner.note("an endless line")
             self.drop()
 
     def eof_received(self) -> None:
@@ -72,6 +81,8 @@
 
     def drop(self) -> None:
         """Ends the connection.  What was written on it may have been added."""
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
         if self.transport is not None:
             self.transport.abort()
             self.transport = None
@@ -87,37 +98,40 @@
                  told: Callable[[CounterReply], None]) -> None:
         self.address, self.timeout, self.clock, self.told = address, timeout or 0.05, clock, told
         self.loop = asyncio.get_running_loop()
-        self.link: Link | None = None
+        self.links: list[Link] = []
+        self.noted = 0
         self.connecting: asyncio.Task[None] | None = None  # to the address that holds now
         self.tasks: set[asyncio.Task[None]] = set()
         self.unsent: deque[Call] = deque()  # wait for the connection to come up
-        self.used = 0.0  # when the connection was last written to
-        self.idle_timer: asyncio.TimerHandle | None = None
 
     def call(self, name: int, add: float, lifetime: float) -> None:
         line = b"add %d %s %d\r\n" % (name, _decimal(add), min(max(1, round(lifetime * 1000)), 60_000))
         call = Call(name, line, self.clock())
-        waiting = len(self.unsent) + (len(self.link.calls) if self.link else 0)
+        waiting = len(self.unsent) + sum(len(link.calls) for link in self.links)
         if waiting >= MOST_WAITING:
             self.loop.call_soon(self.report, call, Outcome.FULL)
             return
         call.timer = self.loop.call_later(self.timeout, self._late, call)
         # Guards against a connection that is open and silent: its calls would all time out for ever.
-        if self.link and self.link.calls and call.made - self.link.calls[0].made > SILENT * self.timeout:
-            log.warning("counter: silent connection replaced")
-            self.link.drop()
-        if self.link is not None:
-            self._write(self.link, call)
-            return
-        self.unsent.append(call)
-        if self.connecting is None:
+        owed = call.made - SILENT * self.timeout
+        for silent in [x for x in self.links if x.calls and x.calls[0].made < owed]:
+            self.note("silent connection replaced")
+            silent.drop()
+        # Guards against answers that wait for others only because they are owed on one connection: names
+        # lie on several parts, and one of them may be slow.
+        link = min(self.links, key=lambda x: len(x.calls), default=None)
+        if (link is None or link.calls) and self.connecting is None and len(self.links) < MOST_LINKS:
             self._open()
+        if link is None:
+            self.unsent.append(call)
+        else:
+            self._write(link, call)
 
     def move(self, address: tuple[str, int]) -> None:
         """The counter is at another address now; calls that are out may still be answered from the old."""
         self.address = address
-        link, self.link, self.connecting = self.link, None, None
-        if link is not None:
+        links, self.links, self.connecting = self.links, [], None
+        for link in links:
             link.retire(self.timeout)
         if self.unsent:
             self._open()
@@ -131,7 +145,7 @@
         assert link.transport is not None
         link.calls.append(call)
         link.transport.write(call.line)
-        self.used = call.made
+        link.used = call.made
 
     async def _connect(self) -> None:
         try:
@@ -148,10 +162,9 @@
         self.connecting = None
         unsent, self.unsent = self.unsent, deque()
         if link is not None and link.transport is not None:
-            self.link = link
-            self.used = self.clock()
-            if self.idle_timer is None:
-                self.idle_timer = self.loop.call_later(IDLE, self._idle)
+            self.links.append(link)
+            link.used = self.clock()
+            link.idle_timer = self.loop.call_later(IDLE, self._idle, link)
             for call in unsent:
                 if not call.reported:  # nothing was added for these, and they were told so
                     self._write(link, call)
@@ -159,16 +172,13 @@
             for call in unsent:
                 self.report(call, Outcome.CONNECT_FAILED)
 
-    def _idle(self) -> None:
+    def _idle(self, link: Link) -> None:
         """Guards against a call that crosses the counter's closing of an idle connection."""
-        self.idle_timer = None
-        if self.link is None:
-            return
-        left = self.used + IDLE - self.clock()
-        if left <= 0 and not self.link.calls:
-            self.link.drop()
+        left = link.used + IDLE - self.clock()
+        if left <= 0 and not link.calls:
+            link.drop()
         else:
-            self.idle_timer = self.loop.call_later(max(left, 0.5), self._idle)
+            link.idle_timer = self.loop.call_later(max(left, 0.5), self._idle, link)
 
     def _late(self, call: Call) -> None:
         """The time is up.  A call that was written may have been added, or may yet be; its place in the
@@ -177,22 +187,27 @@
         waiting = any(other is call for other in self.unsent)
         self.report(call, Outcome.CONNECT_FAILED if waiting else Outcome.TIMEOUT)
 
-    def answered(self, call: Call, line: bytes) -> None:
-        kind, _, rest = line.partition(b" ")
-        try:
-            if kind == b"ok":
-                self.report(call, Outcome.OK, float(rest))
-                return
-        except ValueError:
-            kind = b"?"
-        if kind == b"busy":
+    def answered(self, call: Call, line: bytes) -> bool:
+        """Whether the answer makes sense.  One that does not may be anything: the amount counts as added,
+        and nothing that follows on its connection is believed."""
+        if total := TOTAL.fullmatch(line):
+            self.report(call, Outcome.OK, float(total[1]))
+        elif line == b"busy":
             self.report(call, Outcome.FULL)
-        elif kind == b"error":
-            log.warning("counter: call turned down: %r", call.line)
+        elif line == b"error":
+            self.note("call turned down: %r", call.line)
             self.report(call, Outcome.FULL)
         else:
-            log.warning("counter: strange answer %r", line[:80])
+            self.note("strange answer %r", line[:40])
             self.report(call, Outcome.TIMEOUT)
+            return False
+        return True
+
+    def note(self, text: str, *words: object) -> None:
+        """Guards the log, and the time it takes, against a fault that repeats."""
+        self.noted += 1
+        if self.noted <= LOGGED or self.noted % 100 == 0:
+            log.warning("counter, fault %d: " + text, self.noted, *words)
 
     def report(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         if call.reported:
@@ -203,12 +218,12 @@
         self.told(CounterReply(call.name, outcome, total, self.clock() - call.made))
 
     def lost(self, link: Link) -> None:
-        if self.link is link:
-            self.link = None
+        if link in self.links:
+            self.links.remove(link)
 
     def close(self) -> None:
-        if self.link is not None:
-            self.link.drop()
+        for link in list(self.links):
+            link.drop()
 
 
 def _decimal(value: float) -> bytes:
