Values of backends may hold up to 1 MiB, within a budget over all connections

The header is still judged first (over 1 MiB: refused at once), and what has come of answers that are not whole is bounded over all connections by the share of memory_mb.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -229,11 +229,11 @@
             self.was_cut = True
 
     def stalled(self, now: float, mean: float) -> bool:
-        """Danger: a backend that died silently, or runs many times slower, looks idle till the first deadline."""
+        """Danger: a backend that died silently, or runs many times slower, looks idle till a deadline."""
         return self.silent(now) > STALL * mean
 
     def silent(self, now: float) -> float:
-        """How long it has held work and answered nothing: one lost attempt beside others answered is no jam."""
+        """How long it has held work and answered nothing: one lost beside others answered is no jam."""
         return now - max(self.heard_at, next(iter(self.out.values()))) if self.out else 0.0
 
     def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -21,7 +21,7 @@
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
-LARGEST = 64 * 1024  # bytes of a value
+LARGEST = 1024 * 1024  # bytes of a value: some hold far more than the 64 KiB that commands may
 LONGEST_ANSWER = LARGEST + 8 * 1024  # bytes of a value, figures and a report
 LONGEST_LINE = 1024  # bytes of an error line
 SETTLED = 0.003  # s after an answer before its connection is used again; sooner than another would be up
@@ -84,9 +84,13 @@
             self.close()  # nothing was asked: what follows could pass for another's answer
             return
         self.rest = rest = self.rest + data if self.rest else data
+        self.pool.held += len(data)
         try:
             end = answer_end(rest)
             if end < 0:
+                if self.pool.held > self.pool.most_held:
+                    # Guards the memory: large values that come on many connections at once.
+                    raise BadFrame("too much is on the way")
                 return
             outcome, value, load = self._meaning(rest[:end])
         except (BadFrame, hiredis.HiredisError) as error:
@@ -96,13 +100,18 @@
             self.close()
             self.pool.end(attempt, Outcome.ERROR)
             return
-        self.rest, self.attempt = b"", None
+        self.attempt = None
+        self._drop_rest()
         if end < len(rest):
             self.close()
         else:
             self.pool.release(self)
         self.pool.end(attempt, outcome, value, load)
 
+    def _drop_rest(self) -> None:
+        self.pool.held -= len(self.rest)
+        self.rest = b""
+
     def _meaning(self, frame: bytes) -> tuple[Outcome, bytes | None, dict[str, float]]:
         """The outcome, the value and the load report of a whole answer."""
         if frame[:1] == b"*":
@@ -150,6 +159,7 @@
             return
         self.open = False
         self.attempt = None
+        self._drop_rest()
         with contextlib.suppress(OSError):  # the peer was first
             self.sock.shutdown(socket.SHUT_RDWR)
         if self.transport is not None:
@@ -185,7 +195,8 @@
 class Backends:
     """The pool.  Each attempt that is started ends exactly once, with a call of `ended`."""
 
-    def __init__(self, most: int, connect_timeout: float, idle_time: float, grace: float, clock: Clock,
+    def __init__(self, most: int, most_held: int, connect_timeout: float, idle_time: float, grace: float,
+                 clock: Clock,
                  ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None]) -> None:
         self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
@@ -193,6 +204,7 @@
         self.targets: dict[str, Target] = {}
         self.sockets = 0  # connections open or coming up
         self.noted = 0  # faults of backends
+        self.held, self.most_held = 0, most_held  # bytes of answers that are not whole yet
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -59,8 +59,8 @@
         self.running = False
         self.unsupported: set[str] = set()
         self.watch: asyncio.Task[None] | None = None
-        self.backends = Backends(config.backend_sockets, config.connect_timeout, config.idle_time,
-                                 self.settings.drain_grace, self.clock, self.ended)
+        self.backends = Backends(config.backend_sockets, config.most_held, config.connect_timeout,
+                                 config.idle_time, self.settings.drain_grace, self.clock, self.ended)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.clients = Clients(config.listen, config.client_sockets, config.most_held, self.settings, self,
