A watch on discovery that fell silent is noticed after 1.5 s, not 22

The log of what discovery answered holds one whole list at 1.5 s and the next at 24.1 s, after the watch had timed out: its connection was open and silent in between. Ruled out: how the list is read (both answers are whole and in order), the pool (it knew nothing newer), CPU (0.34 of a second at most). To blame: WAIT_MS and GRACE in discovery.py.

A watch waits 1 s now; what is new comes at once as before.

--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -15,9 +15,11 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 20_000  # of a watch: what is new comes at once; a silent agent is given up after this
-GRACE = 2.0  # s: an agent answers at once, or once the wait is over
-ASK_TIMEOUT = 2.0  # s for a call that doesn't wait
+# Guards against a connection to the agent that fell silent: meanwhile backends leave and come, and nothing
+# tells of it.  What is new comes at once, so a short wait costs no more than a small call now and then.
+WAIT_MS = 1_000  # of a watch
+GRACE = 0.5  # s: an agent answers at once, or once the wait is over
+ASK_TIMEOUT = 1.0  # s for a call that doesn't wait
 PAUSES = (0.05, 0.1, 0.2, 0.5, 1.0)  # s between tries while the agent is gone
 
 
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -108,6 +108,18 @@
     run(body())
 
 
+def test_a_watch_that_fell_silent_is_noticed_within_two_seconds() -> None:
+    """What the agent tells on a new call is not waited for until a long watch is over."""
+    async def body() -> None:
+        agent = Agent(listing(1, True, entry(HERE)), None, listing(2, True, entry(HERE, "s2")))
+        told = await watch(agent, 4)
+        assert [found.version for _, found in told] == [1, 2]
+        assert agent.asked[2] == "/api/targets" and agent.peer.connections == 2
+        assert module.WAIT_MS / 1000 + module.GRACE < 2.0
+
+    run(body())
+
+
 def test_the_process_outlives_a_fault_in_what_is_told() -> None:
     async def body() -> None:
         agent = Agent(listing(1, True, entry(HERE)), listing(2, True, entry(HERE)))
