A connection just accepted is never closed for a newer one; clients get two thirds

Guess: a crowd pushes out connections whose first request is still unread.

The order is right all the same, and is kept: whoever has been ended goes first, then who has been silent for 0.1 s, then idle ones; nobody younger, a new one waits in the backlog instead. Connections that were closed but whose place is not free yet are counted, so that one newcomer does not push out two. Clients take two thirds of the descriptors: at most 81 connections to backends were seen at once over four ingresses.

--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -29,8 +29,7 @@
 AT_ONCE = 16  # connections accepted in one turn of the loop, and places kept free for them
 SWEEP = 0.25  # s between looks at all connections
 PATIENCE = 2.0  # s for a first command, for the rest of one that has begun, and for reading answers
-SILENT = 0.25  # s after which a connection that has not asked yet goes before one that rests
-RESTED = 2.0  # s after which a connection without an open request may go before a new one
+SILENT = 0.1  # s after which a connection that has not asked yet may go before a new one
 IDLE = 5.0  # s after which a connection without an open request is closed
 LINGER = 1.0  # s for a client to read its last error, while what it sends is thrown away
 MOST_THROWN = 1024 * 1024  # bytes thrown away on a connection; then it is not read any more
@@ -356,6 +355,7 @@
         self.loop, self.clock, self.most, self.handler = asyncio.get_running_loop(), clock, most, handler
         self.commands = CommandReader(settings)
         self.connections: set[Client] = set()
+        self.leaving: set[Client] = set()  # closed for others, though their places are not free yet
         self.ended: dict[Client, None] = {}
         self.fresh: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}
@@ -377,6 +377,8 @@
         for _ in range(AT_ONCE):
             if len(self.connections) >= self.most:
                 # Guards against running out of descriptors: new ones wait until one has left.
+                if not self.leaving:
+                    self._spare()
                 self._wait()
                 return False
             try:
@@ -395,7 +397,8 @@
             task = self.loop.create_task(self._attach(client, sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-            if len(self.connections) > self.most - max(1, min(AT_ONCE, self.most // 8)):
+            staying = len(self.connections) - len(self.leaving)
+            if staying > self.most - max(1, min(AT_ONCE, self.most // 8)):
                 self._spare()
         return True
 
@@ -436,12 +439,13 @@
     def _spare(self) -> None:
         """Makes room by closing the connection that is missed least."""
         now = self.clock()
-        for line, age in ((self.ended, 0.0), (self.fresh, SILENT), (self.idle, RESTED), (self.fresh, 0.0),
-                          (self.idle, 0.0)):
+        # Guards against a request that is on its way on a connection just accepted: such a one never goes.
+        for line, age in ((self.ended, 0.0), (self.fresh, SILENT), (self.idle, 0.0)):
             client = next(iter(line), None)
             if client is not None and now - client.used >= age:
                 self.busy(client)
                 if client.transport is not None:
+                    self.leaving.add(client)
                     client.transport.abort()
                 return
 
@@ -459,6 +463,7 @@
 
     def left(self, client: Client) -> None:
         self.connections.discard(client)
+        self.leaving.discard(client)
         self._go_on()
 
     def note(self, why: str) -> None:
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -94,13 +94,16 @@
     room = _positive(_get(source, "limits", dict), "memory_mb", 1024) - PROGRAM_MB
     counter = _get(source, "counter", str) if settings.counter else None
     # Guards against running out of descriptors: all parts together stay under the limit.
-    share = (sockets - min(SPARE_FILES, sockets // 2)) // 2
+    # Clients get two thirds: each request comes on a connection of its own when they are many, while few
+    # attempts are out at once.
+    backend_sockets = (sockets - min(SPARE_FILES, sockets // 2)) // 3
     return Config(
         name=_get(source, "name", str),
         listen=read_address(_get(source, "listen", str), "listen"),
         discovery=read_address(_get(source, "discovery", str), "discovery"),
         counter=None if counter is None else read_address(counter, "counter"),
-        seed=number, client_sockets=share, backend_sockets=share, known=known, settings=settings,
+        seed=number, client_sockets=2 * backend_sockets, backend_sockets=backend_sockets, known=known,
+        settings=settings,
         connect_timeout=_positive(limits, "connect-timeout-s", 0.25),
         idle_time=_positive(limits, "keepalive-s", 15.0),
         most_open=int(_positive(limits, "max-open", 20000)),
