A rest under which a connection broke is not tried again

Ruled out: the settings' keep-alive (ours go at 0.6 of it) and a peek at the socket, which shows nothing before something is written.

The pool notes how long a connection had rested when it broke under a request, and lets none rest longer than 0.6 of that.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
+LEAST_IDLE = 0.1  # s that a connection may rest whatever broke: most are used again sooner
 GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
 LARGEST = 1024 * 1024  # bytes of a value: some hold far more than the 64 KiB that commands may
 LONGEST_ANSWER = LARGEST + 8 * 1024  # bytes of a value, figures and a report
@@ -75,7 +76,7 @@
         self.rest = b""  # of an answer that is not whole yet
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
-        self.idle_since, self.open = 0.0, True
+        self.idle_since, self.rested, self.open = 0.0, 0.0, True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -134,6 +135,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt = self.attempt, None
+        if attempt is not None and not self.rest:
+            self.pool.broke(self.rested)
         self.close()
         if attempt is not None:
             # Guards against an effect that happens twice: once any of it was handed to the system, all of
@@ -278,16 +281,22 @@
     def _settled(self, target: Target) -> Connection | None:
         """The idle connection used last.  Guards against what a backend sends behind an answer, a second
         copy say, and comes in a later read: it would pass for the next answer."""
-        latest = self.clock() - SETTLED
+        now = self.clock()
         for connection in reversed(target.idle[:]):
-            if connection.idle_since > latest:
+            if connection.idle_since > now - SETTLED:
                 continue
-            if not connection.stale():
+            if connection.idle_since >= now - self.idle_time and not connection.stale():
                 target.idle.remove(connection)
                 return connection
             connection.close()
         return None
 
+    def broke(self, rested: float) -> None:
+        """A connection broke under a request that it got after resting so long.  Guards against backends
+        that drop idle connections sooner than they must, and say so only when written to."""
+        if rested >= LEAST_IDLE:
+            self.idle_time = min(self.idle_time, max(LEAST_IDLE, rested * IDLE_SHARE))
+
     def note(self, text: str, *words: object) -> None:
         """Guards the log, and the time it takes, against a fault that repeats."""
         self.noted += 1
@@ -318,6 +327,7 @@
     def _write(self, connection: Connection, attempt: Attempt) -> None:
         assert connection.transport is not None
         attempt.connection, connection.attempt = connection, attempt
+        connection.rested = self.clock() - connection.idle_since if connection.idle_since else 0.0
         connection.transport.write(attempt.command(self.clock()))
 
     def _closed(self, target: Target) -> bool:
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -315,6 +315,35 @@
     run(body())
 
 
+def test_a_rest_after_which_a_connection_broke_is_not_tried_again() -> None:
+    """The backend drops a connection that has rested, and the first that tells of it is a reset."""
+    async def script(number: int, reader: Reader, writer: Writer) -> None:
+        for count in range(4):
+            await read_command(reader)
+            if number == 0 and count == 1:
+                return
+            writer.write(value(b"%d" % number))
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (Outcome.OK, b"0")
+            pool.skipped = 2.0
+            pool.send()
+            assert await pool.end(2) == (Outcome.RESET, None)
+            pool.send()
+            assert await pool.end(3) == (Outcome.OK, b"1")
+            pool.skipped = 3.0  # a rest of 1 s is shorter than what broke
+            pool.send()
+            assert await pool.end(4) == (Outcome.OK, b"1")
+            pool.skipped = 5.0
+            pool.send()
+            assert await pool.end(5) == (Outcome.OK, b"2")
+
+    run(body())
+
+
 @pytest.mark.parametrize("readiness", [Readiness.DRAINING, Readiness.GONE])
 def test_nothing_new_is_written_after_the_grace_of_a_drain(readiness: Readiness) -> None:
     async def body() -> None:
