A core that knows no protocol: exchange and ports; RESP2 is one front and one back

Need: the ingress was one class wired to RESP2 on both sides; other protocols need the exchange alone.

Change: core/ holds the exchange, the neutral Call and Answer, and the ports Front, Back, Listener, Counter and Timers; resp/ the codec, front and back; platform/ configuration, discovery, counter and drain; ingress.py puts them together. Code was moved; a call of another front can now be put into RESP2 words.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -11,8 +11,8 @@
 
 import uvloop
 
-from mulleinhall.net.config import BadConfig, Config, read_config
-from mulleinhall.net.ingress import Ingress
+from mulleinhall.ingress import Ingress
+from mulleinhall.platform.config import BadConfig, Config, read_config
 
 log = logging.getLogger("mulleinhall")
 
--- /dev/null
+++ b/mulleinhall/core/ports.py
@@ -0,0 +1,85 @@
+"""The sides of the exchange: who asks, who carries attempts, who counts, and who keeps time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from mulleinhall.core.calls import Answer, Call
+from mulleinhall.interface import Backend, Outcome
+
+
+class Front(Protocol):
+    """Who asked one call."""
+
+    key: str  # the exchange's name for the open request, set by it before anything else happens
+
+    def answer(self, answer: Answer) -> None:
+        """The one final answer.  The front drops any other."""
+
+
+class Attempt:
+    """One attempt at one backend, from the module's `Send` to its outcome.  Times are the clock's, in
+    seconds; `number` counts a request's attempts from 0."""
+
+    __slots__ = ("backend", "call", "carrier", "deadline", "ended", "number", "request", "sent", "timer")
+
+    def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
+                 call: Call) -> None:
+        self.request, self.number, self.backend, self.sent = request, number, backend, sent
+        self.deadline, self.call = deadline, call
+        self.ended = False
+        self.carrier: Any = None  # the back's own: what the attempt is on, once it was written
+        self.timer: Handle | None = None  # the back's own
+
+
+Ended = Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None]
+"""How a back reports: the attempt, its outcome, the value if it was served, the load report."""
+
+
+class Back(Protocol):
+    """Carries attempts to backends of one protocol.  Each attempt that is started ends exactly once, by a
+    call of the `Ended` that the back was made with; that call may come before `start` returns."""
+
+    def change(self, full: bool, backends: tuple[Backend, ...],
+               addresses: dict[str, tuple[str, int]]) -> None:
+        """The list of backends has changed, or is given whole."""
+
+    def start(self, attempt: Attempt) -> None: ...
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Gives the attempt up: when this returns, nothing more of it can go out."""
+
+    def close_idle(self, backend: str) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Listener(Protocol):
+    """Where a front's clients connect."""
+
+    def open(self) -> None: ...
+
+    def drain(self) -> None:
+        """Takes what has come, then lets each connection go as it falls idle."""
+
+    def empty(self) -> bool:
+        """Whether every connection has gone."""
+
+    def close(self) -> None: ...
+
+
+class Counter(Protocol):
+    """Each call gets exactly one `CounterReply`, never before `call` returns."""
+
+    def call(self, name: int, add: float, lifetime: float) -> None: ...
+
+
+class Handle(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Timers(Protocol):
+    """The part of an event loop that the exchange needs; delays are seconds."""
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Handle: ...
--- /dev/null
+++ b/mulleinhall/ingress.py
@@ -0,0 +1,80 @@
+"""One real ingress: the exchange with its front and back, on this platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from dataclasses import replace
+
+import mulleinhall.interface as api
+from mulleinhall.core.clock import Clock, unix_clock
+from mulleinhall.core.exchange import Exchange
+from mulleinhall.logic import Gateway
+from mulleinhall.platform.config import Config
+from mulleinhall.platform.counter import Counter
+from mulleinhall.platform.discovery import Discovery, Listing
+from mulleinhall.platform.drain import drain
+from mulleinhall.resp.back import Backends
+from mulleinhall.resp.front import Clients
+
+log = logging.getLogger(__name__)
+
+
+class Ingress:
+    """Puts the parts together, and follows a configuration that is replaced."""
+
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+        self.config, settings = config, config.settings
+        clock = clock or unix_clock()
+        self.loop = asyncio.get_running_loop()
+        self.exchange = exchange = Exchange(Gateway(settings, config.seed), settings, clock, self.loop,
+                                            config.most_open, config.most_held)
+        self.backends = exchange.back = Backends(
+            config.backend_sockets, config.most_held, config.connect_timeout, config.idle_time,
+            settings.drain_grace, clock, exchange.ended)
+        self.counter = exchange.counter = None if config.counter is None else Counter(
+            config.counter, settings.counter_timeout, clock, exchange.feed)
+        self.clients = Clients(config.listen, config.client_sockets, config.most_held, settings, exchange,
+                               clock)
+        self.watch: asyncio.Task[None] | None = None
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop` is set, then lets the clients go and ends."""
+        self.listed(api.ListKind.RESTORED, self.config.known)
+        self.clients.open()
+        self._watch()
+        log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
+        await stop.wait()
+        await drain(self.exchange, (self.clients,), self.config.settings.classes)
+        log.info("%s ends", self.config.name)
+        if (watch := self.watch) is not None:
+            watch.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watch
+        self.backends.close()
+        if self.counter is not None:
+            self.counter.close()
+
+    def listed(self, kind: api.ListKind, listing: Listing) -> None:
+        self.exchange.listed(kind, listing.backends, listing.addresses, listing.version)
+
+    def _watch(self) -> None:
+        """A new watch on discovery, from a whole list; the old one ends."""
+        if self.watch is not None:
+            self.watch.cancel()
+        self.watch = self.loop.create_task(Discovery(self.config.discovery, self.listed).run())
+
+    def reload(self, config: Config) -> None:
+        """The configuration was replaced: discovery and counter may be elsewhere.  What is not told here
+        holds from the next start."""
+        old, self.config = self.config, replace(
+            self.config, discovery=config.discovery, counter=config.counter)
+        if config.discovery != old.discovery:
+            self._watch()
+        if self.counter is not None and config.counter is not None and config.counter != old.counter:
+            self.counter.move(config.counter)
+        log.info("configuration read again: discovery %s, counter %s", config.discovery, config.counter)
+        if replace(config, seed=old.seed, known=old.known, discovery=old.discovery,
+                   counter=old.counter) != old:
+            log.warning("what else has changed in it holds from the next start")
--- a/mulleinhall/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The ingress on real sockets."""
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/platform/config.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeVar
 
 from mulleinhall.interface import Settings
-from mulleinhall.net.discovery import Listing, read_listing
+from mulleinhall.platform.discovery import Listing, read_listing
 from mulleinhall.wire import read_settings
 
 T = TypeVar("T")
--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/platform/counter.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import cast
 
+from mulleinhall.core.clock import Clock
 from mulleinhall.interface import CounterReply, Outcome
-from mulleinhall.net.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/resp/back.py
@@ -7,15 +7,16 @@
 import errno
 import logging
 import socket
-from collections.abc import Callable
 from math import inf
 from typing import cast
 
 import hiredis
 
+from mulleinhall.core.clock import Clock
+from mulleinhall.core.ports import Attempt, Ended
 from mulleinhall.interface import Backend, Outcome, Readiness
-from mulleinhall.net.clock import Clock
-from mulleinhall.net.frames import BadFrame, array_end
+from mulleinhall.resp.commands import encode
+from mulleinhall.resp.frames import BadFrame, array_end
 from mulleinhall.wire import LOADS
 
 log = logging.getLogger(__name__)
@@ -33,27 +34,6 @@
 SWEEP = 1.0  # s between looks for idle connections
 
 
-class Attempt:
-    """One attempt at one backend, from the module's `Send` to its outcome."""
-
-    __slots__ = ("backend", "connection", "deadline", "ended", "number", "parts", "request", "sent", "timer")
-
-    def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
-                 parts: tuple[bytes, bytes, bytes]) -> None:
-        self.request, self.number, self.backend, self.sent = request, number, backend, sent
-        self.deadline, self.parts = deadline, parts
-        self.connection: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.ended = False
-
-    def command(self, now: float) -> bytes:
-        """The client's command with the time that is left in place of its own."""
-        before, names, after = self.parts
-        left = b"d=%d" % max(1, int((self.deadline - now) * 1000))
-        text = b",".join(left if part.startswith(b"d=") else part for part in names.split(b","))
-        return b"%b$%d\r\n%b%b" % (before, len(text), text, after)
-
-
 class Target:
     """One backend as the list has it, and the connections to it that are idle, the latest used last."""
 
@@ -201,8 +181,7 @@
     """The pool.  Each attempt that is started ends exactly once, with a call of `ended`."""
 
     def __init__(self, most: int, most_held: int, connect_timeout: float, idle_time: float, grace: float,
-                 clock: Clock,
-                 ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None]) -> None:
+                 clock: Clock, ended: Ended) -> None:
         self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
         self.loop = asyncio.get_running_loop()
@@ -310,25 +289,25 @@
             load: dict[str, float] | None = None) -> None:
         if attempt.ended:
             return
-        attempt.ended, attempt.connection = True, None
+        attempt.ended, attempt.carrier = True, None
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.ended(attempt, outcome, value, load or {})
 
     def _overdue(self, attempt: Attempt) -> None:
         # What was never written never ran: the connection did not come up in time.
-        self._give_up(attempt, Outcome.TIMEOUT if attempt.connection else Outcome.CONNECT_FAILED)
+        self._give_up(attempt, Outcome.TIMEOUT if attempt.carrier else Outcome.CONNECT_FAILED)
 
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        if attempt.connection is not None:
-            attempt.connection.close()
+        if attempt.carrier is not None:
+            attempt.carrier.close()
         self.end(attempt, outcome)
 
     def _write(self, connection: Connection, attempt: Attempt) -> None:
         assert connection.transport is not None
-        attempt.connection, connection.attempt = connection, attempt
+        attempt.carrier, connection.attempt = connection, attempt
         connection.rested = self.clock() - connection.idle_since if connection.idle_since else 0.0
-        connection.transport.write(attempt.command(self.clock()))
+        connection.transport.write(encode(attempt.call, attempt.deadline - self.clock()))
 
     def _closed(self, target: Target) -> bool:
         return target.closes is not None and self.clock() >= target.closes
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/resp/front.py
@@ -5,23 +5,22 @@
 import asyncio
 import errno
 import logging
-import re
 import socket
 from collections import deque
-from dataclasses import dataclass
 from math import ceil
 from typing import Any, Protocol, cast
 
 import hiredis
 
-from mulleinhall.interface import RequestClass, Semantics, Settings
-from mulleinhall.net.clock import Clock
-from mulleinhall.net.frames import BadFrame, array_end
+from mulleinhall.core.calls import Answer, Duplicate, Kind
+from mulleinhall.core.clock import Clock
+from mulleinhall.interface import Settings
+from mulleinhall.resp.commands import LARGEST, BadCommand, Command, CommandReader, bulk
+from mulleinhall.resp.frames import BadFrame, array_end
 
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of a connection that wait for an answer; more are not read
-LARGEST = 64 * 1024  # bytes of a value
 LONGEST_COMMAND = 256 * 1024  # bytes of a command
 MOST_WORDS = 8  # of a command; no known one has more than 5
 MOST_BAD = 8  # malformed commands in a row after which the connection ends
@@ -35,107 +34,15 @@
 MOST_THROWN = 1024 * 1024  # bytes thrown away on a connection; then it is not read any more
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
-OK, PONG = b"+OK\r\n", b"+PONG\r\n"
-CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 16 hex digits, a number below 2^33
-WORD = re.compile(rb"[!-~]{1,128}")
-WHOLE = re.compile(r"[0-9]{1,9}")
-DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-
-
-class BadCommand(Exception):
-    """A command that can't be understood; the text says why."""
-
-
-@dataclass(slots=True)
-class Command:
-    """A well-formed request of a client."""
-
-    words: list[bytes]
-    customer: str
-    request_class: str
-    plan: str
-    wait: float  # s
-    units: float
-    spread: int
-    first: int
-    repeat: bool
-    write: bool
-
-    def parts(self) -> tuple[bytes, bytes, bytes]:
-        """The command as RESP in three pieces; the middle one is the bare list of names and values."""
-        verb, customer, request, names, *body = self.words
-        before = b"*%d\r\n%b%b%b" % (len(self.words), bulk(verb), bulk(customer), bulk(request))
-        return before, names, b"\r\n" + b"".join(map(bulk, body))
-
-
-def bulk(value: bytes) -> bytes:
-    return b"$%d\r\n%b\r\n" % (len(value), value)
-
-
-class CommandReader:
-    """Reads API.READ and API.WRITE as the settings name classes and plans.
-
-    Guards the buckets against figures that no customer has: what a backend would turn away, or is out of
-    the range that the settings give, never becomes a request.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.classes: dict[str, RequestClass] = {c.name: c for c in settings.classes}
-        self.plans = {p.name for p in settings.plans}
-        self.gateways, self.most_units = settings.gateways, settings.most_units
-
-    def read(self, verb: bytes, words: list[bytes]) -> Command:
-        write = verb == b"API.WRITE"
-        if not (len(words) == 4 or (write and len(words) == 5)):
-            raise BadCommand("wrong number of arguments")
-        if not CUSTOMER.fullmatch(words[1]):
-            raise BadCommand("the customer is not a number of 16 hex digits")
-        if not WORD.fullmatch(words[2]):
-            raise BadCommand("no id")
-        try:
-            pairs = [pair.split("=", 1) for pair in words[3].decode("ascii").split(",")]
-            names = dict(pairs)
-        except ValueError:
-            raise BadCommand("no list of names and values") from None
-        if len(names) < len(pairs):
-            raise BadCommand("a name stands twice")
-        for key in ("c", "t", "d"):
-            if key not in names:
-                raise BadCommand(f"{key} is missing")
-        cls = self.classes.get(names["c"])
-        if cls is None:
-            raise BadCommand("unknown class")
-        if names["t"] not in self.plans:
-            raise BadCommand("unknown plan")
-        if write is (cls.semantics is Semantics.SAFE):
-            raise BadCommand("the class belongs to the other command")
-        if cls.semantics is Semantics.KEYED and not names.get("k"):
-            raise BadCommand("k is missing")
-        units = names.get("units", "1")
-        if not DECIMAL.fullmatch(units) or not 0 < float(units) <= self.most_units:
-            raise BadCommand("bad number: units")
-        if names.get("r", "0") not in ("0", "1"):
-            raise BadCommand("bad number: r")
-        return Command(words, words[1].decode().lower(), names["c"], names["t"],
-                       # A client that is late itself counts its wait from when it should have sent.
-                       _whole(names, "d", 1, ceil(2 * cls.deadline * 1000)) / 1000, float(units),
-                       _whole(names, "spread", 1, self.gateways),
-                       _whole(names, "first", 0, self.gateways - 1), names.get("r") == "1", write)
-
-
-def _whole(names: dict[str, str], key: str, least: int, most: int) -> int:
-    text = names.get(key, str(least))
-    if not WHOLE.fullmatch(text) or not least <= int(text) <= most:
-        raise BadCommand(f"bad number: {key}")
-    return int(text)
+OK, PONG, BUSY, ERR_FAILED = b"+OK\r\n", b"+PONG\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
 
 
 class Handler(Protocol):
-    """Who takes the requests."""
+    """Who takes the requests: the exchange."""
 
-    def request(self, slot: Slot, command: Command, arrived: float) -> None: ...
+    def request(self, front: Slot, call: Command, arrived: float) -> None: ...
 
-    def hung_up(self, slot: Slot) -> None: ...
+    def hung_up(self, front: Slot) -> None: ...
 
 
 class Slot:
@@ -147,8 +54,17 @@
         self.client, self.key = client, ""
         self.data: bytes | None = None
 
-    def answer(self, data: bytes) -> None:
+    def answer(self, answer: Answer) -> None:
         """The one final answer; a second is dropped."""
+        if answer.kind is Kind.SERVED:
+            self.put(bulk(answer.value))
+        elif answer.kind is Kind.FAILED:
+            self.put(ERR_FAILED)
+        else:
+            wait = answer.retry_after
+            self.put(b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY)
+
+    def put(self, data: bytes) -> None:
         if self.data is None:
             self.data = data
             self.client.flush()
@@ -230,20 +146,20 @@
                 self.bad = 0
                 self.server.handler.request(slot, command, self.arrived)
             elif verb == b"PING" and len(words) <= 2:
-                slot.answer(bulk(words[1]) if len(words) == 2 else PONG)
+                slot.put(bulk(words[1]) if len(words) == 2 else PONG)
             elif verb in (b"CLIENT", b"SELECT"):
-                slot.answer(OK)
+                slot.put(OK)
             else:
                 raise BadCommand("unknown command")
-        except BadCommand as error:
+        except (BadCommand, Duplicate) as error:
             self.bad += 1
             self.ending = self.bad >= MOST_BAD  # it does not learn: the others' time is not for it
             self.server.note(str(error))
-            slot.answer(b"-ERR %b\r\n" % str(error).encode())
+            slot.put(b"-ERR %b\r\n" % str(error).encode())
         except Exception:
             # Guards the process, and the others on this connection, against a fault in one request.
             log.exception("a request failed")
-            slot.answer(b"-ERR internal error\r\n")
+            slot.put(b"-ERR internal error\r\n")
 
     def _broken(self, why: str) -> None:
         """Nothing that follows can be understood: the connection ends after the answers that are owed."""
@@ -255,7 +171,7 @@
             self.server.busy(self)
         slot = Slot(self)
         self.slots.append(slot)
-        slot.answer(b"-ERR %b\r\n" % why.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" "))
+        slot.put(b"-ERR %b\r\n" % why.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" "))
 
     def _throw(self, size: int) -> None:
         """Guards the last error against the reset that unread input would make of the close."""
@@ -471,6 +387,9 @@
         if self.bad <= LOGGED or self.bad % 1000 == 0:
             log.warning("malformed command %d: %s", self.bad, why)
 
+    def empty(self) -> bool:
+        return not self.connections
+
     def drain(self) -> None:
         """Accepts what has come, closes the listener, and each connection as it falls idle."""
         self.draining = True
--- a/tests/test_net_config.py
+++ b/tests/test_config.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from mulleinhall.net.config import BadConfig, read_config
+from mulleinhall.platform.config import BadConfig, read_config
 from tests.peers import SETTINGS, config_text, entry
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_net_counter.py
+++ b/tests/test_counter.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from mulleinhall.core.clock import unix_clock
 from mulleinhall.interface import CounterReply, Outcome
-from mulleinhall.net import counter as module
-from mulleinhall.net.clock import unix_clock
-from mulleinhall.net.counter import Counter
+from mulleinhall.platform import counter as module
+from mulleinhall.platform.counter import Counter
 from tests.peers import Address, Peer, Reader, Writer, run, until
 
 
--- a/tests/test_net_discovery.py
+++ b/tests/test_discovery.py
@@ -11,8 +11,8 @@
 import pytest
 
 from mulleinhall.interface import ListKind, Readiness
-from mulleinhall.net import discovery as module
-from mulleinhall.net.discovery import Discovery, Listing, read_listing
+from mulleinhall.platform import discovery as module
+from mulleinhall.platform.discovery import Discovery, Listing, read_listing
 from tests.peers import Peer, Reader, Writer, entry, run, until
 
 HERE = ("127.0.0.1", 6379)
--- a/tests/test_net_ingress.py
+++ b/tests/test_ingress.py
@@ -13,10 +13,10 @@
 import pytest
 
 import mulleinhall.interface as api
-from mulleinhall.net import clients
-from mulleinhall.net.clock import unix_clock
-from mulleinhall.net.config import Config
-from mulleinhall.net.ingress import Ingress
+from mulleinhall.core.clock import unix_clock
+from mulleinhall.ingress import Ingress
+from mulleinhall.platform.config import Config
+from mulleinhall.resp import front as clients
 from tests.peers import (
     Caller,
     Peer,
@@ -40,7 +40,7 @@
     served = Ingress(settings)
     stop = asyncio.Event()
     task = asyncio.create_task(served.run(stop))
-    await until(lambda: served.gateway.born is not None)
+    await until(lambda: getattr(served.exchange.gateway, "born", None) is not None)
     try:
         yield served, served.clients.listener.getsockname()
     finally:
@@ -116,7 +116,7 @@
 
     async def body() -> None:
         async with peer, serving(config(entry(peer.address))) as (served, address):
-            served.gateway = Stub(send)  # type: ignore[assignment]
+            served.exchange.gateway = Stub(send)
             caller = await Caller.to(address)
             caller.writer.write(command("slow") + command("quick") + resp(b"PING"))
             assert [await caller.answer() for _ in range(3)] == [b"slow", b"quick", b"PONG"]
@@ -208,13 +208,13 @@
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
             stub = Stub(send)
-            served.gateway = stub  # type: ignore[assignment]
+            served.exchange.gateway = stub
             caller = await Caller.to(address)
             caller.writer.write(command())
             await until(lambda: peer.commands)
             caller.writer.close()
             await until(lambda: stub.of(api.Abandoned))
-            assert not served.open
+            assert not served.exchange.open
 
     run(body())
 
@@ -224,14 +224,14 @@
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
             stub = Stub(send if sent else None)
-            served.gateway = stub  # type: ignore[assignment]
+            served.exchange.gateway = stub
             caller = await Caller.to(address)
             clock = asyncio.get_running_loop().time
             start = clock()
             assert str(await caller.ask(command(d=300))) == "ERR failed"
             assert clock() - start > 0.2
             assert len(stub.of(api.Abandoned)) == 1
-            await until(lambda: not served.attempts and not served.open)
+            await until(lambda: not served.exchange.attempts and not served.exchange.open)
             assert len(stub.of(api.AttemptEnded)) == sent
             assert await caller.ask(resp(b"PING")) == b"PONG"
 
@@ -244,7 +244,7 @@
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
             caller = await Caller.to(address)
             assert isinstance(await caller.ask(command(d=500)), hiredis.ReplyError)
-            assert not served.open and not served.gateway.jobs
+            assert not served.exchange.open and not getattr(served.exchange.gateway, "jobs", True)
 
     run(body())
 
@@ -253,7 +253,7 @@
     async def body() -> None:
         async with serving(config()) as (served, address):
             waits = {"1": 0.0, "2": 1.2501}
-            served.gateway = Stub(lambda e: [api.Refuse(e.id, waits[e.id])])  # type: ignore[assignment]
+            served.exchange.gateway = Stub(lambda e: [api.Refuse(e.id, waits[e.id])])
             caller = await Caller.to(address)
             assert str(await caller.ask(command())) == "BUSY"
             assert str(await caller.ask(command())) == "BUSY 1251"
@@ -264,7 +264,7 @@
 def test_a_second_final_answer_is_dropped() -> None:
     async def body() -> None:
         async with serving(config()) as (served, address):
-            served.gateway = Stub(lambda e: [api.Fail(e.id), api.Refuse(e.id)])  # type: ignore[assignment]
+            served.exchange.gateway = Stub(lambda e: [api.Fail(e.id), api.Refuse(e.id)])
             caller = await Caller.to(address)
             assert str(await caller.ask(command())) == "ERR failed"
             assert await caller.ask(resp(b"PING")) == b"PONG"
@@ -283,14 +283,14 @@
                 return send(event)
 
             stub = Stub(plan)
-            served.gateway = stub  # type: ignore[assignment]
+            served.exchange.gateway = stub
             caller = await Caller.to(address)
             caller.writer.write(command("one") + command("two", customer=9) + command("three"))
             assert await caller.answer() == b"one"
             assert str(await caller.answer()) == "ERR failed"
             assert await caller.answer() == b"three"
             await until(lambda: stub.of(api.Timer))
-            await until(lambda: not served.open)
+            await until(lambda: not served.exchange.open)
 
     run(body())
     assert sum("the module failed" in record.getMessage() for record in caplog.records) == 1
@@ -306,7 +306,7 @@
                 return [*send(event), api.SetTimer(0.1, 1)] if isinstance(event, api.Request) else []
 
             stub = Stub(plan)
-            served.gateway = stub  # type: ignore[assignment]
+            served.exchange.gateway = stub
             caller = await Caller.to(address)
             assert await caller.ask(command("x")) == b"x"
             assert [e.outcome for e in stub.of(api.AttemptEnded)] == [api.Outcome.CANCELLED, api.Outcome.OK]
@@ -324,7 +324,7 @@
                 return [api.Send(event.id, "s1")] if again else send(event)  # type: ignore[union-attr]
 
             stub = Stub(plan)
-            served.gateway = stub  # type: ignore[assignment]
+            served.exchange.gateway = stub
             caller = await Caller.to(address)
             assert str(await caller.ask(command(d=300))) == "ERR failed"
             ends = [(e.attempt, e.outcome) for e in stub.of(api.AttemptEnded)]
@@ -336,7 +336,7 @@
 def test_open_requests_are_bounded() -> None:
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
-            object.__setattr__(served.config, "most_open", 1)
+            served.exchange.most_open = 1
             caller = await Caller.to(address)
             other = await Caller.to(address)
             caller.writer.write(command())
@@ -354,10 +354,10 @@
         async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
             def plan(event: api.Event) -> list[api.Action]:
                 nonlocal most
-                most = max(most, len(served.open))
+                most = max(most, len(served.exchange.open))
                 return send(event)
 
-            served.gateway = Stub(plan)  # type: ignore[assignment]
+            served.exchange.gateway = Stub(plan)
             caller = await Caller.to(address)
             caller.writer.write(b"".join(command(str(n)) for n in range(50)))
             assert [await caller.answer() for _ in range(50)] == [b"%d" % n for n in range(50)]
@@ -471,7 +471,7 @@
     async def body() -> None:
         async with serving(config()) as (served, address):
             served.clients.most = 10
-            served.gateway = Stub(lambda e: [api.Refuse(e.id)])  # type: ignore[assignment]
+            served.exchange.gateway = Stub(lambda e: [api.Refuse(e.id)])
             callers = [await Caller.to(address) for _ in range(60)]
             for n, caller in enumerate(callers):
                 caller.writer.write(command(str(n)))
@@ -539,7 +539,7 @@
 def test_an_id_that_is_open_is_not_taken_twice() -> None:
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
-            served.gateway = Stub(send)  # type: ignore[assignment]
+            served.exchange.gateway = Stub(send)
             one, two = await Caller.to(address), await Caller.to(address)
             one.writer.write(command("same", d=300))
             await until(lambda: peer.commands)
@@ -547,7 +547,7 @@
             assert str(await one.answer()) == "ERR failed"
             two.writer.write(command("same", d=300))  # its first bearer is over
             assert str(await two.answer()) == "ERR failed"
-            assert len(peer.commands) == 2 and not served.ids
+            assert len(peer.commands) == 2 and not served.exchange.ids
 
     run(body())
 
--- a/tests/test_net_reload.py
+++ b/tests/test_reload.py
@@ -10,7 +10,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from mulleinhall.net.ingress import Ingress
+from mulleinhall.ingress import Ingress
 from tests.peers import (
     SETTINGS,
     Address,
@@ -25,9 +25,9 @@
     until,
     value,
 )
-from tests.test_net_counter import scripted
-from tests.test_net_discovery import Agent, listing
-from tests.test_net_restart import ROOT, free_port
+from tests.test_counter import scripted
+from tests.test_discovery import Agent, listing
+from tests.test_restart import ROOT, free_port
 
 
 @asynccontextmanager
--- a/tests/test_net_backends.py
+++ b/tests/test_resp_back.py
@@ -7,15 +7,23 @@
 import socket
 from typing import Any
 
+import hiredis
 import pytest
 
+from mulleinhall.core.calls import Call
+from mulleinhall.core.clock import unix_clock
+from mulleinhall.core.ports import Attempt
 from mulleinhall.interface import Backend, Outcome, Readiness
-from mulleinhall.net import backends as module
-from mulleinhall.net.backends import Attempt, Backends, answer_end, read_load
-from mulleinhall.net.clock import unix_clock
+from mulleinhall.resp import back as module
+from mulleinhall.resp.back import Backends, answer_end, read_load
+from mulleinhall.resp.commands import Command, encode
 from tests.peers import Address, Peer, Reader, Writer, backend, read_command, run, until, value
 
-PARTS = b"*4\r\n$8\r\nAPI.READ\r\n$2\r\nc7\r\n$2\r\nr1\r\n", b"c=read,d=2000,t=basic,x=9", b"\r\n"
+WORDS = b"API.READ", b"c7", b"r1", b"c=read,d=2000,t=basic,x=9"
+
+
+def call(*words: bytes) -> Command:
+    return Command(words[2], "c7", "read", "basic", 2.0, 1.0, 1, 0, False, False, words=words)
 
 
 class Pool:
@@ -33,9 +41,9 @@
     def ended(self, attempt: Attempt, outcome: Outcome, answer: bytes | None, load: dict[str, float]) -> None:
         self.ends.append((attempt.number, outcome, answer))
 
-    def send(self, name: str = "s0", wait: float = 5.0, parts: tuple[bytes, bytes, bytes] = PARTS) -> Attempt:
+    def send(self, name: str = "s0", wait: float = 5.0, words: tuple[bytes, ...] = WORDS) -> Attempt:
         now = self.pool.clock()
-        attempt = Attempt("r", self.count, name, now, now + wait, parts)
+        attempt = Attempt("r", self.count, name, now, now + wait, call(*words))
         self.count += 1
         self.pool.start(attempt)
         return attempt
@@ -74,12 +82,24 @@
     run(body())
 
 
+@pytest.mark.parametrize(("call", "words"), [
+    (Call(b"r9", "00000000000000c7", "read", "basic", 2.0, 1.0, 2, 1, False, False),
+     [b"API.READ", b"00000000000000c7", b"r9", b"c=read,t=basic,d=700,units=1,spread=2,first=1"]),
+    (Call(b"r9", "00000000000000c7", "order", "basic", 2.0, 0.5, 1, 0, False, True, "0123456789abcdef", b"x"),
+     [b"API.WRITE", b"00000000000000c7", b"r9",
+      b"c=order,t=basic,d=700,k=0123456789abcdef,units=0.5,spread=1,first=0", b"x"]),
+])
+def test_a_call_of_another_front_is_put_into_words(call: Call, words: list[bytes]) -> None:
+    reader = hiredis.Reader()
+    reader.feed(encode(call, 0.7))
+    assert reader.gets() == words
+
+
 def test_the_time_is_rewritten_and_all_else_goes_on_unchanged() -> None:
     async def body() -> None:
         async with backend() as peer:
             pool = Pool(peer.address)
-            data = b"$%d\r\n%b\r\n" % (len(BINARY), BINARY)
-            pool.send(wait=1.0, parts=(PARTS[0].replace(b"*4", b"*5"), PARTS[1], b"\r\n" + data))
+            pool.send(wait=1.0, words=(*WORDS, BINARY))
             assert await pool.end() == (Outcome.OK, b"r1")
             [words] = peer.commands
             names = words[3].split(b",")
@@ -178,7 +198,7 @@
             latest = pool.pool.targets["s0"].idle[-1]
             pool.skipped = module.SETTLED
             attempt = pool.send()
-            assert attempt.connection is latest
+            assert attempt.carrier is latest
             await pool.end(3)
             assert peer.connections == 2 and pool.pool.sockets == 2
 
--- a/tests/test_net_restart.py
+++ b/tests/test_restart.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from mulleinhall.net import ingress
+from mulleinhall.platform import drain
 from tests.peers import (
     SETTINGS,
     Address,
@@ -114,7 +114,7 @@
             at = time.monotonic()
             assert str(await caller.answer()) == "ERR failed"
             assert await process.wait() == 0
-            assert time.monotonic() - at < ingress.MOST_DEADLINE + ingress.KILL_AFTER
+            assert time.monotonic() - at < drain.MOST_DEADLINE + drain.KILL_AFTER
 
     run(body())
 
