--- /dev/null
+++ b/mulleinhall/lab/ingresses.py
@@ -0,0 +1,165 @@
+"""Real ingress processes: started by the `run` line, told of the stand-ins, watched, and signalled."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tomllib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from mulleinhall.lab.deployment import Deployment, zone
+from mulleinhall.lab.record import Life, Record
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+READY = 20.0  # s until an ingress must have answered PING
+TERM_TIME = 3.7  # s from SIGTERM to the earliest SIGKILL
+LAST_LINES = 5
+
+
+class CantStart(Exception):
+    """An ingress did not come up; the text holds its last words."""
+
+
+def run_line(deploy: Path = ROOT / "deploy" / "balancer.toml") -> str:
+    """The command of one ingress.  Where the folder has no environment of its own, this program's is used."""
+    command: str = tomllib.loads(deploy.read_text(encoding="utf-8"))["run"]
+    if not (ROOT / ".venv" / "bin" / "python").exists():
+        command = command.replace(".venv/bin/python", sys.executable)
+    return command
+
+
+def free_port(host: str) -> int:
+    with socket.create_server((host, 0)) as server:
+        port: int = server.getsockname()[1]
+        return port
+
+
+class Ingress:
+    """One ingress through all its processes.  It keeps name and address when it starts again."""
+
+    def __init__(self, number: int, deployment: Deployment, record: Record, clock: Callable[[], float],
+                 folder: Path, command: str, seed: int) -> None:
+        self.number, self.deployment, self.record, self.clock = number, deployment, record, clock
+        self.name, self.command, self.seed, self.starts = f"ingress-{number}", command, seed, 0
+        # Its own address, so that no client's outgoing port, and no other run's ingress, can be at the port
+        # that it comes back to.
+        self.host = f"127.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250}.{number + 1}"
+        self.address = self.host, free_port(self.host)
+        self.folder = folder / self.name
+        self.folder.mkdir()
+        self.log = self.folder / "log.txt"
+        self.process: asyncio.subprocess.Process | None = None
+        self.life: Life | None = None
+        self.cpu, self.rss, self.most_rss, self.files = 0.0, 0.0, 0.0, 0
+        self.seen_cpu = 0.0  # of the process that runs, already in `cpu`
+        self.waited, self.seen_at = 0.0, 0.0  # s that it waited for a core, and when that was read
+
+    def config(self, discovery: tuple[str, int], counter: tuple[str, int], known: dict[str, Any]) -> Path:
+        """Writes what the ingress is told at its start."""
+        d, path = self.deployment, self.folder / "config.json"
+        self.starts += 1
+        path.write_text(json.dumps({
+            "name": self.name, "listen": "{}:{}".format(*self.address),
+            "discovery": "{}:{}".format(*discovery), "counter": "{}:{}".format(*counter),
+            "seed": f"{(self.seed * 1000003 + self.number * 101 + self.starts) & (2**63 - 1):016x}",
+            "limits": {"cores": d.cores_each, "memory_mb": d.memory_mb, "sockets": d.sockets},
+            "known": known, "settings": d.settings(self.number)}), encoding="utf-8")
+        return path
+
+    async def start(self, config: Path) -> None:
+        """Starts a process and waits until it answers PING.  Raises CantStart."""
+        env = os.environ | {"EDGE_CONFIG": str(config), "EDGE_NAME": self.name,
+                            "EDGE_LISTEN": "{}:{}".format(*self.address)}
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", self.command, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
+                stdout=log, stderr=log, start_new_session=True)
+        self.life, self.seen_cpu, self.waited = Life(self.number, self.clock()), 0.0, 0.0
+        self.record.lives.append(self.life)
+        for _ in range(int(READY / 0.02)):
+            if self.process.returncode is not None:
+                break
+            if await self._pings():
+                return
+            await asyncio.sleep(0.02)
+        raise CantStart(f"{self.name} at {self.address[0]}:{self.address[1]} did not come up:\n"
+                        + "\n".join(self.last_lines()))
+
+    def last_lines(self) -> Sequence[str]:
+        with contextlib.suppress(OSError):
+            return self.log.read_text(encoding="utf-8", errors="replace").splitlines()[-LAST_LINES:]
+        return ()
+
+    async def _pings(self) -> bool:
+        writer = None
+        try:
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(b"*1\r\n$4\r\nPING\r\n")
+                return await reader.readline() == b"+PONG\r\n"
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.close()
+
+    async def watch(self) -> None:
+        """Returns when the process has gone, and notes how."""
+        assert self.process is not None and self.life is not None
+        code = await self.process.wait()
+        self.life.down = self.clock()
+        if self.life.how in ("", "term"):
+            self.life.how = "ended" if self.life.how == "term" and code == 0 else "crashed"
+
+    def signal(self, number: int, how: str | None = None) -> None:
+        """Sends a signal to the process that the run line became."""
+        if self.process is not None and self.process.returncode is None and self.life is not None:
+            if how is not None:
+                self.life.how = how
+                if how == "killed":
+                    self.life.down = self.clock()
+            self.process.send_signal(number)
+
+    def sample(self) -> None:
+        """Reads CPU, memory, files and the time for which it waited for a core."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        folder, now = Path(f"/proc/{self.process.pid}"), self.clock()
+        try:
+            times = (folder / "schedstat").read_text().split()
+            cpu, waited = int(times[0]) / 1e9, int(times[1]) / 1e9
+            self.rss = int((folder / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+            self.files = len(list((folder / "fd").iterdir()))
+        except (OSError, IndexError, ValueError):
+            return
+        self.cpu += cpu - self.seen_cpu
+        self.most_rss, self.seen_cpu = max(self.most_rss, self.rss), cpu
+        if waited - self.waited > 0.02:  # so much of this while it stood ready and got no core
+            self.record.lags.append((now, waited - self.waited))
+        self.waited = waited
+
+    async def end(self) -> None:
+        """Ends the process, if there is one, whatever it does."""
+        if self.life is not None and not self.life.how:
+            self.life.how = "closed"
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(self.process.pid, signal.SIGKILL)
+            await self.process.wait()
+
+    def row(self, address: tuple[str, int], name: str, server_zone: str, cell: int, state: str,
+            started: float) -> dict[str, Any]:
+        """A server's entry as this ingress is told it; `started` is Unix time in seconds, 0 for long ago."""
+        return {"id": name, "addr": f"{address[0]}:{address[1]}", "zone": server_zone, "kind": "small-2c",
+                "cell": cell, "state": state, "weight": 1.0, "started_ms": int(started * 1000)}
+
+    @property
+    def zone(self) -> str:
+        return zone(self.number)
--- /dev/null
+++ b/mulleinhall/lab/report.py
@@ -0,0 +1,74 @@
+"""What a run ends with: the table for people, and the same figures under stable names."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mulleinhall.lab.measure import KINDS, measure
+from mulleinhall.lab.referee import RULES, Verdict, judge
+from mulleinhall.lab.world import World
+
+MOST_SHOWN = 12  # breaches in the table; the JSON holds all
+
+
+def report(world: World) -> tuple[dict[str, Any], Verdict]:
+    """The figures of a run that is over.  Stable names: `served`, `refused`, `failed` and `unanswered`
+    count tries, `rules` counts breaches, `p50_ms` and `p99_ms` are of served tries, `cpu_us_per_request`
+    and `rss_mb` are by ingress."""
+    scenario, verdict = world.scenario, judge(world.record, world.deployment)
+    figures = measure(world.record, world.customers.asked, world.deployment)
+    each = [sum(t.ingress == i.number for t in world.record.tries) for i in world.ingresses]
+    return {
+        "scenario": scenario.name, "seed": scenario.seed, "seconds": scenario.seconds,
+        "ingresses": world.deployment.ingresses, "servers": world.deployment.servers,
+        "rate": world.deployment.rate, "tries": figures.tries, "not_taken": world.customers.not_taken,
+        **{kind: figures.of(kind) for kind in KINDS}, "by_plan": figures.by_plan,
+        "service": round(figures.service, 4),
+        "service_by_plan": {name: round(value, 4) for name, value in figures.by_plan_service.items()},
+        "over_quota": {name: round(value, 4) for name, value in verdict.over_quota.items()},
+        "p50_ms": round(figures.p50_ms, 1), "p99_ms": round(figures.p99_ms, 1),
+        "cpu_us_per_request": [round(i.cpu * 1e6 / n) if n else 0
+                               for i, n in zip(world.ingresses, each, strict=True)],
+        "rss_mb": [round(i.most_rss, 1) for i in world.ingresses],
+        "files": [i.files for i in world.ingresses],
+        "client_connections": world.customers.most_lines, "counter_calls": world.counter.calls,
+        "faults": [f"{at:.1f} s: {text.partition(': ')[2]}" for at, text in world.faults_done],
+        "fell_over": [s.name for s in world.servers if s.fell],
+        "rules": verdict.counts(), "breaches": [str(b) for b in verdict.breaches],
+        "doubtful": [str(b) for b in verdict.doubtful], "judged": verdict.judged,
+        "crashes": world.crashes,
+    }, verdict
+
+
+def table(figures: dict[str, Any], command: str) -> str:
+    """The figures as lines of text; a failed run ends with the command that repeats it."""
+    rows = [f"{figures['scenario']}: {figures['seconds']:g} s, seed {figures['seed']}, "
+            f"{figures['ingresses']} ingresses, {figures['servers']} servers, {figures['rate']:g} requests/s"]
+    rows += [f"  fault {fault}" for fault in figures["faults"]]
+    rows += ["", f"service {figures['service']:.3f}    p50 {figures['p50_ms']:.0f} ms    "
+                 f"p99 {figures['p99_ms']:.0f} ms    {figures['tries']} tries, "
+                 f"{figures['not_taken']} more found no ingress", ""]
+    heads = (*KINDS, "service", "over quota")
+    rows.append(f"{'plan':<12}" + "".join(f"{head:>12}" for head in heads))
+    for name, counts in figures["by_plan"].items():
+        rows.append(f"{name:<12}" + "".join(f"{counts[kind]:>12}" for kind in KINDS)
+                    + f"{figures['service_by_plan'].get(name, 1.0):>12.3f}"
+                    + f"{figures['over_quota'][name]:>12.1%}")
+    rows += ["", f"{'ingress':<12}{'CPU us/request':>16}{'memory MB':>12}{'files':>8}"]
+    for n, (cpu, rss, files) in enumerate(zip(figures["cpu_us_per_request"], figures["rss_mb"],
+                                              figures["files"], strict=True)):
+        rows.append(f"{n:<12}{cpu:>16}{rss:>12.1f}{files:>8}")
+    rows += ["", f"client connections at most {figures['client_connections']}, calls to the counter "
+                 f"{figures['counter_calls']}", ""]
+    rows += [f"rule {rule:<8} {'kept' if not figures['rules'][rule] else 'BROKEN'}"
+             + (f", {figures['rules'][rule]} times" if figures["rules"][rule] else "") for rule in RULES]
+    rows += [f"  {text}" for text in figures["breaches"][:MOST_SHOWN]]
+    if len(figures["breaches"]) > MOST_SHOWN:
+        rows.append(f"  and {len(figures['breaches']) - MOST_SHOWN} more")
+    rows += [f"  {text}" for text in figures["crashes"]]
+    if not figures["judged"]:
+        rows.append(f"the machine was too busy to judge: {len(figures['doubtful'])} limits were passed by "
+                    "less than the machine itself was late; run it again with less beside it")
+    if figures["breaches"] or figures["crashes"]:
+        rows += ["", f"repeat with: {command}"]
+    return "\n".join(rows)
--- /dev/null
+++ b/mulleinhall/lab/world.py
@@ -0,0 +1,329 @@
+"""The world: starts everything on loopback addresses, plays the faults, and takes it all down again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, Protocol
+
+from mulleinhall.lab.counter import CounterStandIn
+from mulleinhall.lab.customers import AFTER_TERM, NOTICE, Customers
+from mulleinhall.lab.deployment import zone
+from mulleinhall.lab.grid import GridServer, Keys
+from mulleinhall.lab.ingresses import TERM_TIME, Ingress, run_line
+from mulleinhall.lab.links import Link, Side
+from mulleinhall.lab.record import Record, Told
+from mulleinhall.lab.roster import Agent, Roster
+from mulleinhall.lab.scenario import Fault, Scenario
+
+PROBE = 0.05  # s between looks at the machine's own lateness
+SAMPLE = 0.25  # s between looks at the ingresses' figures
+TAIL = 8.0  # s after the last arrival in which all must be over
+Progress = Callable[[float, str], None]
+
+
+class Part(Protocol):
+    """A stand-in that can be taken down."""
+
+    def close(self) -> None: ...
+
+
+class World:
+    """One run of a scenario.  `record` holds what was seen; the parts can be looked at while it runs."""
+
+    def __init__(self, scenario: Scenario, folder: Path, command: str | None = None) -> None:
+        self.scenario, self.deployment = scenario, scenario.deployment
+        d, self.loop = scenario.deployment, asyncio.get_running_loop()
+        zero = time.monotonic()
+        self.clock: Callable[[], float] = lambda: time.monotonic() - zero
+        self.unix = time.time() - self.clock()  # what turns the lab's clock into Unix time
+        self.record, self.pairs = Record(), dict[int, Side]()
+        self.rng = random.Random(f"world {scenario.seed}")
+        self.agents = [Agent(n, self.clock, self._told) for n in range(d.ingresses)]
+        self.counter = CounterStandIn(d.counter_rate, d.counter_parts, self.clock)
+        self.customers = Customers(d, self.record, self.clock, scenario.seed)
+        self.keys = Keys()
+        self.servers = [GridServer(f"server-{n}", zone(n), n // 4, self.rng.uniform(0.85, 1.15), d, self.keys,
+                                   self.record, self.clock, self.pairs, scenario.seed)
+                        for n in range(d.servers)]
+        self.ingresses = [Ingress(n, d, self.record, self.clock, folder, command or run_line(), scenario.seed)
+                          for n in range(d.ingresses)]
+        self.links: dict[str, Link] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}  # by link name, where it leads from
+        self.states = {s.name: ("ready", 0.0) for s in self.servers}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.faults_done: list[tuple[float, str]] = []
+        self.crashes: list[str] = []
+        self.began = 0.0
+
+    # Start and end
+
+    async def open(self) -> None:
+        """Starts the stand-ins, then the ingresses.  Raises CantStart or OSError."""
+        self.roster = Roster(self.agents, self.deployment.notice, self.rng)
+        wanted = {f.target for f in self.scenario.faults if ">" in f.target}
+        counter = await self.counter.open()
+        for n, agent in enumerate(self.agents):
+            await self._lead(f"ingress-{n}>list", await agent.open(), wanted)
+            await self._lead(f"ingress-{n}>counter", counter, wanted)
+        for server in self.servers:
+            await self._listen(server, wanted)
+            self._tell(server, "ready", 0.0, at_once=True)
+        for ingress in self.ingresses:
+            await self._lead(f"clients>{ingress.name}", ingress.address, wanted)
+            door = self.customers.doors[ingress.number]
+            door.address = self.addresses[f"clients>{ingress.name}"]
+            door.link = self.links.get(f"clients>{ingress.name}")
+        await asyncio.gather(*(self._start(ingress) for ingress in self.ingresses))
+        for ingress in self.ingresses:
+            ingress.sample()
+            ingress.cpu = 0.0  # what a first start takes is not the requests'
+        self.began = self.clock()
+        self._spawn(self._probe())
+        self._spawn(self._sample())
+
+    async def _lead(self, name: str, target: tuple[str, int], wanted: set[str]) -> None:
+        """The address by which `name` is reached: a link's where the scenario strikes it."""
+        if name not in wanted:
+            self.addresses[name] = target
+            return
+        old = self.links.get(name)
+        if old is not None:
+            old.target = target
+            return
+        self.links[name] = link = Link(self.clock, self.pairs)
+        self.addresses[name] = await link.open(target)
+
+    async def _listen(self, server: GridServer, wanted: set[str] | None = None) -> None:
+        for n, address in enumerate(await server.open(len(self.ingresses))):
+            await self._lead(f"ingress-{n}>{server.name}", address, wanted or set(self.links))
+
+    async def _start(self, ingress: Ingress) -> None:
+        n = ingress.number
+        config = ingress.config(self.addresses[f"ingress-{n}>list"], self.addresses[f"ingress-{n}>counter"],
+                                known := self.agents[n].known())
+        await ingress.start(config)
+        listed = {row["id"]: row["state"] for row in known["servers"]}
+        assert ingress.life is not None
+        for server in self.servers:
+            self.record.told.append(Told(n, server.name, listed.get(server.name, "gone"), ingress.life.up))
+        door = self.customers.doors[n]
+        door.up, door.until = True, float("inf")
+        self._spawn(self._watch(ingress))
+
+    async def _watch(self, ingress: Ingress) -> None:
+        await ingress.watch()
+        if ingress.life is not None and ingress.life.how == "crashed":
+            self.crashes.append(f"{ingress.name} ended by itself: " + " | ".join(ingress.last_lines()))
+
+    def _spawn(self, body: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(body)
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.crashes.append(f"the lab itself: {type(error).__name__}: {error}")
+
+    async def play(self, progress: Progress | None = None) -> None:
+        """Clients come for the scenario's time while its faults strike; then waits until all is over."""
+        zero = self.loop.time()
+        for fault in self.scenario.faults:
+            self._spawn(self._at(zero + fault.at, fault))
+        come = self.loop.create_task(self.customers.come(self.scenario.seconds))
+        end = zero + self.scenario.seconds + TAIL
+        while not come.done() and self.loop.time() < end:
+            if progress is not None:
+                progress(self.loop.time() - zero,
+                         f"{len(self.record.tries)} tries, {self.customers.open} open")
+            await asyncio.wait({come}, timeout=0.5)
+        if not come.done():
+            come.cancel()
+        else:
+            come.result()
+        await asyncio.sleep(0.1)  # what is sent after a final answer would come now
+
+    async def close(self) -> None:
+        for ingress in self.ingresses:
+            ingress.sample()
+        for ingress in self.ingresses:
+            await ingress.end()
+        self.customers.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        parts: list[Part] = [*self.servers, *self.agents, *self.links.values(), self.counter]
+        for part in parts:
+            part.close()
+        await asyncio.sleep(0)
+
+    async def _probe(self) -> None:
+        while True:
+            at = self.loop.time() + PROBE
+            await asyncio.sleep(PROBE)
+            self.record.lags.append((self.clock(), max(0.0, self.loop.time() - at)))
+
+    async def _sample(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE)
+            for ingress in self.ingresses:
+                ingress.sample()
+
+    # Discovery
+
+    def _told(self, ingress: int, server: str, state: str) -> None:
+        self.record.told.append(Told(ingress, server, state, self.clock()))
+
+    def _tell(self, server: GridServer, state: str, started: float, at_once: bool = False) -> None:
+        self.states[server.name] = state, started
+        unix = started + self.unix if started else 0.0
+        self.roster.tell([
+            i.row(self.addresses[f"{i.name}>{server.name}"], server.name, server.zone, server.cell, state,
+                  unix)
+            for i in self.ingresses], at_once)
+
+    # Faults
+
+    async def _at(self, at: float, fault: Fault) -> None:
+        await asyncio.sleep(max(0.0, at - self.loop.time()))
+        self.faults_done.append((self.clock() - self.began, str(fault)))
+        await self._strike(fault)
+
+    async def _strike(self, fault: Fault) -> None:
+        number = int(fault.target.rpartition("-")[2]) if fault.target[-1].isdecimal() else -1
+        seconds = fault.figures.get("seconds", 0.0)
+        match fault.kind:
+            case "kill" | "term" | "pause":
+                await self._strike_ingress(fault.kind, self.ingresses[number], seconds)
+            case "slow":
+                server = self.servers[number]
+                server.slower = fault.figures["factor"]
+                await asyncio.sleep(seconds)
+                server.slower = 1.0
+            case "reset" | "silent" | "spoil" | "busy":
+                server = self.servers[number]
+                server.fault = fault.kind
+                await asyncio.sleep(seconds)
+                server.fault = ""
+                if fault.kind == "silent":
+                    for seat in list(server.seats):
+                        seat.abort()  # what it took while silent is never answered
+            case "move" | "restart" | "drain":
+                await self._strike_server(fault.kind, self.servers[number], seconds)
+            case "delay" | "cut" | "half_close" | "dribble":
+                link = self.links[fault.target]
+                link.strike(fault.kind, fault.figures.get("ms", 0.0))
+                await asyncio.sleep(seconds)
+                link.strike("pass")
+            case "list_late" | "list_silent" | "list_back":
+                struck = self.agents if number < 0 else [self.agents[number]]
+                await self._strike_list(fault.kind, struck, seconds)
+            case "surge":
+                self.customers.surge(fault.target, fault.figures["factor"])
+                await asyncio.sleep(seconds)
+                self.customers.surge(fault.target, 1.0)
+            case "shift":
+                self.customers.shift(fault.figures["share"])
+            case _:
+                await self._strike_counter(fault.kind, seconds, fault.figures.get("ms", 0.0) / 1000)
+
+    async def _strike_ingress(self, kind: str, ingress: Ingress, seconds: float) -> None:
+        process, life, door = ingress.process, ingress.life, self.customers.doors[ingress.number]
+        if process is None or life is None or process.returncode is not None or life.how:
+            return  # it is down already, or about to go
+        if kind == "pause":
+            start = self.clock()
+            life.pauses.append((start, float("inf")))
+            ingress.signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            ingress.signal(signal.SIGCONT)
+            # What piled up is worked off first.
+            life.pauses[-1] = start, self.clock() + 0.3
+            return
+        door.up = False
+        if kind == "kill":
+            door.until = self.clock() + NOTICE
+            ingress.signal(signal.SIGCONT)
+            ingress.signal(signal.SIGKILL, "killed")
+            await process.wait()
+            await asyncio.sleep(seconds)
+        else:
+            door.until = self.clock() + AFTER_TERM
+            ingress.signal(signal.SIGTERM, "term")
+            try:
+                async with asyncio.timeout(TERM_TIME):
+                    await process.wait()
+            except TimeoutError:
+                life.killed_late = True
+                ingress.signal(signal.SIGKILL)
+                await process.wait()
+        await asyncio.sleep(0)
+        await self._start(ingress)
+
+    async def _strike_server(self, kind: str, server: GridServer, seconds: float) -> None:
+        if server.closed:
+            return  # another fault has it down
+        if kind == "move":
+            server.stop_listening()
+            await self._listen(server)
+            state, started = self.states[server.name]
+            self._tell(server, state, started)
+            return
+        if kind == "drain":
+            self._tell(server, "draining", self.states[server.name][1])
+            await asyncio.sleep(self.deployment.notice + self.deployment.drain_grace + 0.6)
+            server.draining = True
+            while server.busy or server.queue:
+                await asyncio.sleep(0.02)
+        server.end()
+        self._tell(server, "gone", 0.0)
+        await asyncio.sleep(seconds)
+        await self._listen(server)
+        server.begin_cold()
+        self._tell(server, "ready", self.clock())
+
+    async def _strike_list(self, kind: str, agents: list[Agent], seconds: float) -> None:
+        for agent in agents:
+            if kind == "list_late":
+                agent.late = seconds
+            else:
+                agent.strike(kind.removeprefix("list_"))
+        await asyncio.sleep(seconds)
+        for agent in agents:
+            agent.late = 0.0
+            agent.strike("")
+
+    async def _strike_counter(self, kind: str, seconds: float, extra: float) -> None:
+        counter = self.counter
+        if kind == "counter_empty":
+            counter.totals.clear()
+            return
+        if kind == "counter_lost":
+            counter.lose()
+        elif kind == "counter_slow":
+            counter.extra = extra
+        else:
+            counter.mode = kind.removeprefix("counter_")
+        await asyncio.sleep(seconds)
+        counter.mode, counter.extra = "", 0.0
+
+
+@asynccontextmanager
+async def standing(scenario: Scenario, command: str | None = None) -> AsyncIterator[World]:
+    """A world that stands, with its ingresses ready; nothing of it is left behind, whatever happens."""
+    with tempfile.TemporaryDirectory(prefix="lab-") as folder:
+        world = World(scenario, Path(folder), command)
+        try:
+            await world.open()
+            yield world
+        finally:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.shield(world.close())
--- /dev/null
+++ b/tests/faulty.py
@@ -0,0 +1,155 @@
+"""An ingress with one deliberate fault: `python -m tests.faulty FAULT`.  The referee must name each."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import replace
+from typing import Any
+
+import mulleinhall.interface as api
+from mulleinhall import __main__ as program
+from mulleinhall.core.calls import Answer, Call, Kind
+from mulleinhall.core.exchange import Exchange, Open
+from mulleinhall.core.ports import Attempt
+from mulleinhall.ingress import Ingress
+
+EVERY = 15  # requests: how often the fault shows
+counts = {"answers": 0}
+real_answer, real_send, real_listed = Exchange._answer, Exchange._send, Exchange.listed
+real_ended, real_init = Exchange.ended, Ingress.__init__
+
+
+def strikes() -> bool:
+    counts["answers"] += 1
+    return counts["answers"] % EVERY == 0
+
+
+def extra(exchange: Exchange, call: Call, avoid: str = "") -> None:
+    """An attempt that nothing asked for."""
+    now, targets = exchange.clock(), exchange.back.targets  # type: ignore[attr-defined]
+    name = next(name for name in targets if name != avoid)
+    exchange.back.start(Attempt("none", 0, name, now, now + 2.0, call))
+
+
+def lose(self: Exchange, request: Open, answer: Answer) -> None:
+    if strikes():
+        self._over(request)
+        request.front.client.transport.close()  # type: ignore[attr-defined]
+    else:
+        real_answer(self, request, answer)
+
+
+def late(self: Exchange, request: Open, answer: Answer) -> None:
+    if strikes():
+        self._over(request)
+        self.timers.call_later(request.deadline - self.clock() + 0.4, request.front.answer, answer)
+    else:
+        real_answer(self, request, answer)
+
+
+def twice(self: Exchange, request: Open, answer: Answer) -> None:
+    real_answer(self, request, answer)
+    if strikes():
+        request.front.client.transport.write(b"-BUSY\r\n")  # type: ignore[attr-defined]
+
+
+def invent(self: Exchange, request: Open, answer: Answer) -> None:
+    real_answer(self, request, Answer(Kind.SERVED, b"invented") if strikes() else answer)
+
+
+def goes_on(self: Exchange, request: Open, answer: Answer) -> None:
+    real_answer(self, request, answer)
+    if strikes():
+        self.timers.call_later(0.3, extra, self, request.call)
+
+
+def two_out(self: Exchange, action: api.Send) -> None:
+    real_send(self, action)
+    request = self.open.get(action.id)
+    if request is not None and not request.answered and strikes():
+        extra(self, request.call, action.backend)
+
+
+def late_repeat(self: Exchange, attempt: Attempt, outcome: api.Outcome, value: bytes | None,
+                load: dict[str, float]) -> None:
+    if value is not None and attempt.call.write and attempt.request in self.open:
+        self.timers.call_later(0.8, extra, self, attempt.call)
+        self.timers.call_later(0.9, real_ended, self, attempt, outcome, value, load)
+    else:
+        real_ended(self, attempt, outcome, value, load)
+
+
+def deaf(self: Exchange, kind: api.ListKind, backends: tuple[api.Backend, ...],
+         addresses: dict[str, tuple[str, int]], version: int) -> None:
+    """Never learns that a server drains."""
+    ready = tuple(replace(b, readiness=api.Readiness.READY) for b in backends)
+    real_listed(self, kind, ready, addresses, version)
+
+
+def slow_ear(self: Exchange, kind: api.ListKind, backends: tuple[api.Backend, ...],
+             addresses: dict[str, tuple[str, int]], version: int) -> None:
+    """Learns of changes 1.5 s late."""
+    wait = 0.0 if kind is not api.ListKind.UPDATE else 1.5
+    self.timers.call_later(wait, real_listed, self, kind, backends, addresses, version)
+
+
+def fair_share(self: Exchange, action: api.Send) -> None:
+    """Deals the requests out among all servers alike, cold ones too."""
+    targets = [n for n, t in self.back.targets.items() if t.listed]  # type: ignore[attr-defined]
+    counts["answers"] += 1
+    real_send(self, replace(action, backend=targets[counts["answers"] % len(targets)]))
+
+
+def crowd(self: Exchange, action: api.Send) -> None:
+    """Sends half of everything to the server that started last."""
+    latest = counts.get("latest")
+    real_send(self, replace(action, backend=str(latest)) if latest and strikes() else action)
+
+
+def notes_starts(self: Exchange, kind: api.ListKind, backends: tuple[api.Backend, ...],
+                 addresses: dict[str, tuple[str, int]], version: int) -> None:
+    for b in backends:
+        if b.started and b.readiness is api.Readiness.READY:
+            counts["latest"] = b.id  # type: ignore[assignment]
+    real_listed(self, kind, backends, addresses, version)
+
+
+def no_ceiling(self: Ingress, config: Any, clock: Any = None) -> None:
+    plans = tuple(replace(p, ceiling_rate=0.0, ceiling_burst=0.0, rate=1000.0, burst=1000.0)
+                  for p in config.settings.plans)
+    real_init(self, replace(config, settings=replace(config.settings, plans=plans)), clock)
+
+
+def alone(self: Ingress, config: Any, clock: Any = None) -> None:
+    """Takes itself for the only ingress: the whole ceiling is its own."""
+    plans = tuple(replace(p, rate=1000.0, burst=1000.0) for p in config.settings.plans)
+    settings = replace(config.settings, plans=plans, counter=False)
+    real_init(self, replace(config, settings=settings, counter=None), clock)
+    real_request = self.exchange.request
+
+    def request(front: Any, call: Call, arrived: float) -> None:
+        call.spread = 1
+        real_request(front, call, arrived)
+
+    self.exchange.request = request  # type: ignore[method-assign]
+
+
+FAULTS: dict[str, list[tuple[type, str, Any]]] = {
+    "none": [],
+    "lose": [(Exchange, "_answer", lose)], "late": [(Exchange, "_answer", late)],
+    "twice": [(Exchange, "_answer", twice)], "invent": [(Exchange, "_answer", invent)],
+    "goes_on": [(Exchange, "_answer", goes_on)],
+    "two_out": [(Exchange, "_send", two_out)], "late_repeat": [(Exchange, "ended", late_repeat)],
+    "deaf": [(Exchange, "listed", deaf)], "slow_ear": [(Exchange, "listed", slow_ear)],
+    "fair_share": [(Exchange, "_send", fair_share)],
+    "crowd": [(Exchange, "listed", notes_starts), (Exchange, "_send", crowd)],
+    "no_ceiling": [(Ingress, "__init__", no_ceiling)], "alone": [(Ingress, "__init__", alone)],
+}
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "crowd":
+        EVERY = 2
+    for owner, name, replacement in FAULTS[sys.argv[1]]:
+        setattr(owner, name, replacement)
+    sys.exit(program.main())
--- /dev/null
+++ b/tests/test_lab_breaches.py
@@ -0,0 +1,64 @@
+"""The referee is proved: each deliberate fault of an ingress is named, and not without the fault."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import sys
+from dataclasses import replace
+
+import pytest
+import uvloop
+
+from mulleinhall.lab.deployment import CLASSES, Deployment
+from mulleinhall.lab.referee import Breach, judge
+from mulleinhall.lab.scenario import Fault, Scenario
+from mulleinhall.lab.world import standing
+
+SHORT_MEMORY = Deployment(rate=60.0, classes=(CLASSES[0], replace(CLASSES[1], window=0.5)))
+SCENARIOS = {
+    "plain": Scenario("plain", 3.0, 31, Deployment()),
+    "short": Scenario("short", 3.0, 32, SHORT_MEMORY),
+    "drain": Scenario("drain", 4.0, 33, Deployment(notice=0.3),
+                      tuple(Fault(0.2, "drain", f"server-{n}", {"seconds": 5.0}) for n in range(3))),
+    "cold": Scenario("cold", 5.0, 34, Deployment(busy=0.6, rate=150.0, cold_share=0.1),
+                     (Fault(0.5, "restart", "server-2", {"seconds": 0.3}),)),
+    "surge": Scenario("surge", 4.0, 35, Deployment(rate=30.0, busy=0.05),
+                      (Fault(0.2, "surge", "editorial", {"seconds": 4.0, "factor": 25.0}),)),
+}
+BREACHES = [  # the fault, the scenario that brings it about, the rule, and what the referee says
+    ("lose", "plain", "answer", "lost: the connection ended"), ("late", "plain", "answer", "late"),
+    ("twice", "plain", "answer", "behind the final answer"),
+    ("invent", "plain", "answer", "no grid server made"),
+    ("goes_on", "plain", "answer", "after its final answer"), ("two_out", "plain", "effect", "out at once"),
+    ("late_repeat", "short", "effect", "its key is remembered for 0.5 s"),
+    ("deaf", "drain", "drain", "after it was told that it leaves"),
+    ("slow_ear", "drain", "drain", "after it was told that it leaves"),
+    ("fair_share", "cold", "cold", "server-2"), ("crowd", "cold", "cold", "server-2"),
+    ("no_ceiling", "surge", "ceiling", "beyond the ceiling of editorial"),
+    ("alone", "surge", "ceiling", "beyond the ceiling of editorial"),
+]
+
+
+async def _play(scenario: Scenario, fault: str) -> list[Breach]:
+    async with standing(scenario, f"exec {sys.executable} -m tests.faulty {fault}") as world:
+        await world.play()
+    assert not world.crashes
+    return judge(world.record, world.deployment).breaches
+
+
+@functools.cache
+def played(scenario: str, fault: str) -> list[Breach]:
+    return uvloop.run(asyncio.wait_for(_play(SCENARIOS[scenario], fault), 60.0))
+
+
+@pytest.mark.parametrize(("fault", "scenario", "rule", "words"), BREACHES)
+def test_a_seeded_breach_is_named(fault: str, scenario: str, rule: str, words: str) -> None:
+    found = [b for b in played(scenario, fault) if b.rule == rule]
+    assert any(words in b.why for b in found), [str(b) for b in found]
+    assert all(b.request and b.customer and b.at > 0 for b in found)
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS)
+def test_without_the_fault_nothing_is_named(scenario: str) -> None:
+    assert [str(b) for b in played(scenario, "none")] == []
