--- a/mulleinhall/lab/referee.py
+++ b/mulleinhall/lab/referee.py
@@ -153,7 +153,7 @@
 
 def _drains(record: Record, deployment: Deployment) -> Iterable[Breach]:
     told: dict[tuple[int, str], list[Told]] = defaultdict(list)
-    for news in record.told:
+    for news in sorted(record.told, key=lambda n: n.at):
         told[news.ingress, news.server].append(news)
     for x in record.arrivals:
         since = None  # when the process was told that the server leaves, if that is the last word
--- a/tests/test_lab_breaches.py
+++ b/tests/test_lab_breaches.py
@@ -23,8 +23,8 @@
                       tuple(Fault(0.2, "drain", f"server-{n}", {"seconds": 5.0}) for n in range(3))),
     "cold": Scenario("cold", 5.0, 34, Deployment(busy=0.6, rate=150.0, cold_share=0.1),
                      (Fault(0.5, "restart", "server-2", {"seconds": 0.3}),)),
-    "surge": Scenario("surge", 4.0, 35, Deployment(rate=30.0, busy=0.05),
-                      (Fault(0.2, "surge", "editorial", {"seconds": 4.0, "factor": 25.0}),)),
+    "surge": Scenario("surge", 6.5, 35, Deployment(rate=30.0, busy=0.05),
+                      (Fault(0.2, "surge", "editorial", {"seconds": 6.5, "factor": 25.0}),)),
 }
 BREACHES = [  # the fault, the scenario that brings it about, the rule, and what the referee says
     ("lose", "plain", "answer", "lost: the connection ended"), ("late", "plain", "answer", "late"),
