--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are no tests: run by hand, results in docs/."""
--- /dev/null
+++ b/benchmarks/compare.py
@@ -0,0 +1,97 @@
+"""Two commits side by side in one run: CPU per request and latency of one ingress, in interleaved rounds.
+
+Example: python -m benchmarks.compare HEAD~5 HEAD --rounds 12
+
+Each round plays the same calm seconds against a fresh ingress of the one commit and then of the other (the
+order changes from round to round), so that what drifts on the machine strikes both.  Only the ratios, round
+by round, are meant to be compared; their median is the result.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import shlex
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+import uvloop
+
+from mulleinhall.lab.deployment import Deployment
+from mulleinhall.lab.report import report
+from mulleinhall.lab.scenario import Scenario
+from mulleinhall.lab.world import standing
+
+ROOT = Path(__file__).resolve().parent.parent
+NAMES = ("cpu_us_per_request", "p50_ms", "p99_ms", "rss_mb")
+
+
+@contextmanager
+def checked_out(commit: str, folder: Path) -> Iterator[Path]:
+    """A work tree of the commit, taken away again."""
+    add = ["git", "worktree", "add", "--quiet", "--detach", str(folder), commit]
+    subprocess.run(add, cwd=ROOT, check=True)
+    try:
+        yield folder
+    finally:
+        subprocess.run(["git", "worktree", "remove", "--force", str(folder)], cwd=ROOT, check=True)
+
+
+async def once(tree: Path, seconds: float, rate: float, seed: int) -> dict[str, float]:
+    """One round against the ingress in `tree`: figures by name."""
+    # Short work: the servers never queue, so that latency tells of the ingress.
+    deployment = Deployment(ingresses=1, servers=6, rate=rate, busy=0.2, retries=0.0, counter_rate=5000.0)
+    command = f"cd {shlex.quote(str(tree))} && exec env PYTHONPATH={shlex.quote(str(tree))} " \
+              f"{shlex.quote(sys.executable)} -m mulleinhall"
+    async with standing(Scenario("compare", seconds, seed, deployment), command) as world:
+        await world.play()
+        for ingress in world.ingresses:
+            ingress.sample()
+    figures, verdict = report(world)
+    if verdict.breaches or world.crashes:
+        raise SystemExit(f"{tree}: {[str(b) for b in verdict.breaches] + world.crashes}")
+    return {name: figures[name][0] if isinstance(figures[name], list) else figures[name] for name in NAMES}
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n\n")[0],
+                                     epilog="Example: python -m benchmarks.compare HEAD~5 HEAD --rounds 12")
+    parser.add_argument("old")
+    parser.add_argument("new")
+    parser.add_argument("--rounds", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=4.0, help="of each round (4)")
+    parser.add_argument("--rate", type=float, default=600.0, help="requests a second (600)")
+    parser.add_argument("--json", metavar="FILE", help="writes all rounds there")
+    options = parser.parse_args(arguments)
+    rounds: list[tuple[dict[str, float], dict[str, float]]] = []
+    with tempfile.TemporaryDirectory(prefix="compare-") as folder, contextlib.ExitStack() as stack:
+        trees = [stack.enter_context(checked_out(commit, Path(folder) / name))
+                 for name, commit in (("old", options.old), ("new", options.new))]
+        for n in range(options.rounds):
+            found: dict[int, dict[str, float]] = {}
+            for which in ((0, 1), (1, 0))[n % 2]:
+                found[which] = uvloop.run(once(trees[which], options.seconds, options.rate, n))
+            rounds.append((found[0], found[1]))
+            print(f"round {n + 1} of {options.rounds}: CPU {found[0]['cpu_us_per_request']:.0f} and "
+                  f"{found[1]['cpu_us_per_request']:.0f} us a request", file=sys.stderr, flush=True)
+    print(f"{'':<22}{options.old[:10]:>12}{options.new[:10]:>12}{'ratio':>9}   lowest and highest ratio")
+    result: dict[str, Any] = {"rounds": rounds}
+    for name in NAMES:
+        ratios = sorted(new[name] / old[name] for old, new in rounds if old[name])
+        result[name] = median(ratios)
+        old, new = (median(pair[which][name] for pair in rounds) for which in (0, 1))
+        print(f"{name:<22}{old:>12.1f}{new:>12.1f}{median(ratios):>9.3f}   {ratios[0]:.3f} {ratios[-1]:.3f}")
+    if options.json:
+        Path(options.json).write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/mulleinhall/lab/ingresses.py
+++ b/mulleinhall/lab/ingresses.py
@@ -57,7 +57,8 @@
         self.log = self.folder / "log.txt"
         self.process: asyncio.subprocess.Process | None = None
         self.life: Life | None = None
-        self.cpu, self.rss, self.most_rss, self.files = 0.0, 0.0, 0.0, 0
+        self.cpu, self.most_rss, self.files = 0.0, 0.0, 0
+        self.memory: list[tuple[float, float]] = []  # when, and MB resident
         self.seen_cpu = 0.0  # of the process that runs, already in `cpu`
         self.waited, self.seen_at = 0.0, 0.0  # s that it waited for a core, and when that was read
 
@@ -135,12 +136,13 @@
         try:
             times = (folder / "schedstat").read_text().split()
             cpu, waited = int(times[0]) / 1e9, int(times[1]) / 1e9
-            self.rss = int((folder / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+            rss = int((folder / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
             self.files = len(list((folder / "fd").iterdir()))
         except (OSError, IndexError, ValueError):
             return
         self.cpu += cpu - self.seen_cpu
-        self.most_rss, self.seen_cpu = max(self.most_rss, self.rss), cpu
+        self.most_rss, self.seen_cpu = max(self.most_rss, rss), cpu
+        self.memory.append((now, rss))
         if waited - self.waited > 0.02:  # so much of this while it stood ready and got no core
             self.record.lags.append((now, waited - self.waited))
         self.waited = waited
--- a/mulleinhall/lab/report.py
+++ b/mulleinhall/lab/report.py
@@ -30,6 +30,7 @@
         "cpu_us_per_request": [round(i.cpu * 1e6 / n) if n else 0
                                for i, n in zip(world.ingresses, each, strict=True)],
         "rss_mb": [round(i.most_rss, 1) for i in world.ingresses],
+        "rss_mb_by_quarter": [quarters(i.memory, world.began, scenario.seconds) for i in world.ingresses],
         "files": [i.files for i in world.ingresses],
         "client_connections": world.customers.most_lines, "counter_calls": world.counter.calls,
         "faults": [f"{at:.1f} s: {text.partition(': ')[2]}" for at, text in world.faults_done],
@@ -40,6 +41,14 @@
     }, verdict
 
 
+def quarters(samples: list[tuple[float, float]], began: float, seconds: float) -> list[float]:
+    """The mean of the samples in each quarter of the run; 0 where there is none."""
+    sums: list[list[float]] = [[], [], [], []]
+    for at, value in samples:
+        sums[min(3, max(0, int(4 * (at - began) / seconds)))].append(value)
+    return [round(sum(values) / len(values), 2) if values else 0.0 for values in sums]
+
+
 def table(figures: dict[str, Any], command: str) -> str:
     """The figures as lines of text; a failed run ends with the command that repeats it."""
     rows = [f"{figures['scenario']}: {figures['seconds']:g} s, seed {figures['seed']}, "
@@ -54,10 +63,11 @@
         rows.append(f"{name:<12}" + "".join(f"{counts[kind]:>12}" for kind in KINDS)
                     + f"{figures['service_by_plan'].get(name, 1.0):>12.3f}"
                     + f"{figures['over_quota'][name]:>12.1%}")
-    rows += ["", f"{'ingress':<12}{'CPU us/request':>16}{'memory MB':>12}{'files':>8}"]
-    for n, (cpu, rss, files) in enumerate(zip(figures["cpu_us_per_request"], figures["rss_mb"],
-                                              figures["files"], strict=True)):
-        rows.append(f"{n:<12}{cpu:>16}{rss:>12.1f}{files:>8}")
+    rows += ["", f"{'ingress':<12}{'CPU us/request':>16}{'memory MB':>12}{'files':>8}   MB by quarter"]
+    for n, (cpu, rss, files, mean) in enumerate(zip(
+            figures["cpu_us_per_request"], figures["rss_mb"], figures["files"], figures["rss_mb_by_quarter"],
+            strict=True)):
+        rows.append(f"{n:<12}{cpu:>16}{rss:>12.1f}{files:>8}   " + " ".join(f"{x:.1f}" for x in mean))
     rows += ["", f"client connections at most {figures['client_connections']}, calls to the counter "
                  f"{figures['counter_calls']}", ""]
     rows += [f"rule {rule:<8} {'kept' if not figures['rules'][rule] else 'BROKEN'}"
