New clients: a front of http-v2 beside today's, and the listener that both share

Need: new apps must reach old servers too (a rollback), and every front must go through one exchange.

Change: transport/listener.py holds connections, limits and order for any protocol; resp/front.py and http/talk.py are codecs. Requests of HTTP/1.1 are cut by http/frames.py, which refuses whatever two readers could cut differently, before httptools reads them. core/terms.py checks the figures of a call for all fronts. The operator's file names further listeners.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -39,9 +39,9 @@
     if len(arguments) != 2 or arguments[0] != "--operator":
         raise BadConfig("usage: python -m mulleinhall [--operator FILE]")
     from mulleinhall.platform.operator import read_operator
-    from mulleinhall.translating import SERVER_DIALECTS
+    from mulleinhall.translating import CLIENT_DIALECTS, SERVER_DIALECTS
 
-    return read_operator(Path(arguments[1]), SERVER_DIALECTS)
+    return read_operator(Path(arguments[1]), SERVER_DIALECTS, CLIENT_DIALECTS)
 
 
 async def serve(config: Config, operator: Operator | None) -> None:
--- a/mulleinhall/core/calls.py
+++ b/mulleinhall/core/calls.py
@@ -55,5 +55,9 @@
 REFUSED, FAILED = Answer(Kind.REFUSED), Answer(Kind.FAILED)
 
 
+class BadCall(Exception):
+    """A whole request that can't be understood; the text says why.  What follows it can be."""
+
+
 class Duplicate(Exception):
     """The call's id belongs to an open request."""
--- /dev/null
+++ b/mulleinhall/core/terms.py
@@ -0,0 +1,57 @@
+"""What the settings allow a call to say, whatever protocol it came by."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from math import ceil
+
+from mulleinhall.core.calls import BadCall
+from mulleinhall.interface import RequestClass, Semantics, Settings
+
+WHOLE = re.compile(r"[0-9]{1,9}")
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
+
+class Terms:
+    """Checks the figures of a call against the settings.
+
+    Guards the buckets against figures that no customer has: what a backend would turn away, or is out of
+    the range that the settings give, never becomes a request.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.classes: dict[str, RequestClass] = {c.name: c for c in settings.classes}
+        self.plans = {p.name for p in settings.plans}
+        self.gateways, self.most_units = settings.gateways, settings.most_units
+
+    def read(self, names: Mapping[str, str], write: bool) -> tuple[float, float, int, int]:
+        """The wait in seconds, the units, the spread and the first ingress of the set.  `names` are c, t, d,
+        k, units, spread, first and r, as in today's commands.  Raises BadCall, which names what is wrong."""
+        for key in ("c", "t", "d"):
+            if key not in names:
+                raise BadCall(f"{key} is missing")
+        cls = self.classes.get(names["c"])
+        if cls is None:
+            raise BadCall("unknown class")
+        if names["t"] not in self.plans:
+            raise BadCall("unknown plan")
+        if write is (cls.semantics is Semantics.SAFE):
+            raise BadCall("the class belongs to the other command")
+        if cls.semantics is Semantics.KEYED and not names.get("k"):
+            raise BadCall("k is missing")
+        units = names.get("units", "1")
+        if not DECIMAL.fullmatch(units) or not 0 < float(units) <= self.most_units:
+            raise BadCall("bad number: units")
+        if names.get("r", "0") not in ("0", "1"):
+            raise BadCall("bad number: r")
+        # A client that is late itself counts its wait from when it should have sent.
+        return (_whole(names, "d", 1, ceil(2 * cls.deadline * 1000)) / 1000, float(units),
+                _whole(names, "spread", 1, self.gateways), _whole(names, "first", 0, self.gateways - 1))
+
+
+def _whole(names: Mapping[str, str], key: str, least: int, most: int) -> int:
+    text = names.get(key, str(least))
+    if not WHOLE.fullmatch(text) or not least <= int(text) <= most:
+        raise BadCall(f"bad number: {key}")
+    return int(text)
--- a/mulleinhall/dialects/http_v2.py
+++ b/mulleinhall/dialects/http_v2.py
@@ -8,12 +8,17 @@
 import base64
 import binascii
 import json
+import re
+from collections.abc import Mapping
 from dataclasses import dataclass
-from urllib.parse import quote
+from math import ceil
+from urllib.parse import quote, unquote
+from uuid import UUID
 
-from mulleinhall.core.calls import FAILED, Answer, Call
+from mulleinhall.core.calls import FAILED, Answer, BadCall, Call, Kind
+from mulleinhall.core.terms import Terms
 from mulleinhall.dialects.declaration import Dialect, KeyForm, Says, register
-from mulleinhall.dialects.keys import uuid_of
+from mulleinhall.dialects.keys import CUSTOMER, key_of, uuid_of
 from mulleinhall.interface import Outcome
 
 HTTP_V2 = register(Dialect(
@@ -86,12 +91,92 @@
     body = json.dumps({"class": call.request_class,
                        "solution": base64.b64encode(call.body or b"").decode("ascii")}).encode("ascii")
     if call.key:
-        fields += f"Idempotency-Key: \"{uuid_of(call.key, call.customer, call.request_class)}\"\r\n"
+        uuid = call.uuid if isinstance(call, HttpCall) else None
+        uuid = uuid or uuid_of(call.key, call.customer, call.request_class)
+        fields += f"Idempotency-Key: \"{uuid}\"\r\n"
     head = f"POST /v2/solutions HTTP/1.1\r\n{fields}Content-Type: application/json\r\n" \
            f"Content-Length: {len(body)}\r\n\r\n"
     return head.encode("ascii") + body
 
 
+@dataclass(slots=True)
+class HttpCall(Call):
+    """A call of a client that speaks this dialect.  `key` is its old form, for servers of that."""
+
+    uuid: UUID | None = None
+
+
+FIELDS = {b"grid-plan": "t", b"grid-deadline-ms": "d", b"grid-units": "units", b"grid-spread": "spread",
+          b"grid-first": "first", b"grid-retry": "r"}
+ID = re.compile(rb"[!-~]{1,128}")
+QUOTED_UUID = re.compile(rb'"?([0-9a-fA-F]{8}(?:-[0-9a-fA-F]{4}){3}-[0-9a-fA-F]{12})"?')
+
+
+def read(terms: Terms, method: bytes, target: bytes, fields: Mapping[bytes, bytes], body: bytes) -> HttpCall:
+    """A request of a client.  Raises BadCall."""
+    write = method == b"POST"
+    names = {name: fields[field].decode("latin-1") for field, name in FIELDS.items() if field in fields}
+    solution: bytes | None = None
+    if method == b"GET" and target.startswith(b"/v2/grids/"):
+        names["c"] = unquote(target[len(b"/v2/grids/"):].decode("latin-1"))
+    elif write and target == b"/v2/solutions":
+        names["c"], solution = _solution(body)
+    else:
+        raise BadCall("no such resource")
+    customer = fields.get(b"grid-customer", b"").decode("latin-1").lower()
+    name = fields.get(b"x-request-id", b"")
+    if not CUSTOMER.fullmatch(customer):
+        raise BadCall("Grid-Customer is not a number of 16 hex digits")
+    if not ID.fullmatch(name):
+        raise BadCall("X-Request-Id is missing")
+    uuid: UUID | None = None
+    if b"idempotency-key" in fields:
+        found = QUOTED_UUID.fullmatch(fields[b"idempotency-key"])
+        if found is None:
+            raise BadCall("Idempotency-Key is not a UUID")
+        uuid = UUID(found[1].decode("ascii"))
+        names["k"] = key_of(uuid, customer, names["c"])
+    wait, units, spread, first = terms.read(names, write)
+    return HttpCall(name, customer, names["c"], names["t"], wait, units, spread, first, names.get("r") == "1",
+                    write, names.get("k", ""), solution, uuid)
+
+
+def _solution(body: bytes) -> tuple[str, bytes]:
+    try:
+        told = json.loads(body)
+        cls, text = told["class"], told["solution"]
+        if not isinstance(cls, str) or not isinstance(text, str):
+            raise BadCall("class or solution is no text")
+        return cls, base64.b64decode(text, validate=True)
+    except (ValueError, KeyError, TypeError, RecursionError):
+        raise BadCall("the body is not a class and a solution in JSON") from None
+
+
+def word(call: Call | None, answer: Answer) -> bytes:
+    """The final answer as a response."""
+    if answer.kind is Kind.SERVED and call is not None:
+        body = {"id": call.id.decode("latin-1"), "value": base64.b64encode(answer.value).decode("ascii")}
+        return respond(200, body)
+    if answer.kind is Kind.REFUSED:
+        wait = answer.retry_after
+        fields = f"Retry-After: {ceil(wait)}\r\nGrid-Retry-After-Ms: {ceil(wait * 1000)}\r\n"
+        fields = fields if wait > 0 else ""
+        return respond(429, {"type": PROBLEM + NOT_STARTED, "title": "Refused; nothing ran"}, fields)
+    return respond(500, {"type": PROBLEM + "failed", "title": "Failed; it may have run"})
+
+
+def respond(status: int, body: object, fields: str = "") -> bytes:
+    """A response with a body of JSON; `fields` are further ones, each ended."""
+    text = json.dumps(body).encode("ascii")
+    kind = "application/json" if status < 300 else "application/problem+json"
+    head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {kind}\r\nContent-Length: {len(text)}\r\n" \
+           f"{fields}\r\n"
+    return head.encode("ascii") + text
+
+
+REASONS = {200: "OK", 400: "Bad Request", 429: "Too Many Requests", 500: "Internal Server Error"}
+
+
 def problem_type(body: bytes) -> str:
     """The type of problem details (RFC 9457, section 3.1.1), without the prefix; "" for none that we know."""
     try:
--- /dev/null
+++ b/mulleinhall/http/talk.py
@@ -0,0 +1,83 @@
+"""The front's codec of http-v2: requests become calls, and answers become responses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import httptools
+
+from mulleinhall.core.calls import Answer, BadCall, Call
+from mulleinhall.core.terms import Terms
+from mulleinhall.dialects import http_v2
+from mulleinhall.http.frames import expects, fields, head_end, request_end
+from mulleinhall.interface import Settings
+from mulleinhall.transport.talk import BadFrame
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Message:
+    """What the parser finds in one whole request."""
+
+    def __init__(self) -> None:
+        self.target, self.body, self.whole = b"", b"", False
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+
+class HttpTalk:
+    """One connection of a client that speaks http-v2."""
+
+    __slots__ = ("last", "prompted", "terms", "waits")
+
+    def __init__(self, terms: Terms) -> None:
+        self.terms, self.last, self.waits, self.prompted = terms, False, False, False
+
+    def end(self, data: bytes, at: int) -> int:
+        end = request_end(data, at)
+        if end < 0:
+            self.waits = not self.prompted and expects(data, at)
+        return end
+
+    def prompt(self) -> bytes:
+        """RFC 9110, section 10.1.1: once for each request."""
+        if not self.waits:
+            return b""
+        self.waits, self.prompted = False, True
+        return CONTINUE
+
+    def read(self, frame: bytes) -> Call | bytes:
+        self.waits = self.prompted = False
+        message = Message()
+        parser = httptools.HttpRequestParser(message)
+        try:
+            parser.feed_data(frame)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise BadFrame(f"no request: {error}") from None
+        if not message.whole or parser.get_http_version() != "1.1":
+            raise BadFrame("no request of HTTP/1.1")
+        found = fields(frame[:head_end(frame, 0)])
+        self.last = not parser.should_keep_alive() or found.get(b"connection", b"").lower() == b"close"
+        if b"host" not in found:
+            raise BadCall("Host is missing")
+        return http_v2.read(self.terms, parser.get_method(), message.target, found, message.body)
+
+    def word(self, call: Call | None, answer: Answer) -> bytes:
+        return http_v2.word(call, answer)
+
+    def error(self, why: str, broken: bool = False) -> bytes:
+        problem = {"type": http_v2.PROBLEM + "malformed", "title": "Not understood; nothing ran",
+                   "detail": why}
+        return http_v2.respond(400, problem, "Connection: close\r\n" if broken else "")
+
+
+def make_talk(settings: Settings) -> Callable[[], HttpTalk]:
+    return partial(HttpTalk, Terms(settings))
--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -18,7 +18,8 @@
 from mulleinhall.platform.discovery import Discovery, Listing
 from mulleinhall.platform.drain import drain
 from mulleinhall.resp.back import RespWire
-from mulleinhall.resp.front import Clients
+from mulleinhall.resp.front import make_talk
+from mulleinhall.transport.listener import Clients
 from mulleinhall.transport.pool import Backends
 
 if TYPE_CHECKING:
@@ -54,18 +55,27 @@
         exchange.back = self.backends
         self.counter = exchange.counter = None if config.counter is None else Counter(
             config.counter, settings.counter_timeout, clock, exchange.feed)
-        self.clients = Clients(config.listen, config.client_sockets, config.most_held, settings, exchange,
-                               clock)
+        further = operator.listeners if operator is not None else ()
+        # The listeners share out the descriptors and the memory evenly.
+        most, held = config.client_sockets // (1 + len(further)), config.most_held // (1 + len(further))
+        self.clients = Clients(make_talk(settings), config.listen, most, held, exchange, clock)
+        self.listeners = [self.clients]
+        for listener in further:
+            from mulleinhall.translating import talk
+
+            self.listeners.append(Clients(talk(listener.dialect, settings), listener.address, most, held,
+                                          exchange, clock))
         self.watch: asyncio.Task[None] | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
         self.listed(api.ListKind.RESTORED, self.config.known)
-        self.clients.open()
+        for listener in self.listeners:
+            listener.open()
         self._watch()
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
-        await drain(self.exchange, (self.clients,), self.config.settings.classes)
+        await drain(self.exchange, self.listeners, self.config.settings.classes)
         log.info("%s ends", self.config.name)
         if (watch := self.watch) is not None:
             watch.cancel()
--- a/mulleinhall/platform/operator.py
+++ b/mulleinhall/platform/operator.py
@@ -8,10 +8,11 @@
 from pathlib import Path
 from typing import Any
 
-from mulleinhall.platform.config import BadConfig
+from mulleinhall.platform.config import BadConfig, read_address
 
 LONGEST = 1 << 20  # bytes of the file
 MOST = 10_000  # entries of a table
+MOST_LISTENERS = 16
 
 
 class BadOperatorFile(BadConfig):
@@ -30,15 +31,25 @@
         return {self.default, *self.kinds.values(), *self.cells.values()}
 
 
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """A further address where clients of a dialect connect."""
+
+    address: tuple[str, int]
+    dialect: str
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
-    """The file's tables; None for one that it does not have."""
+    """The file's tables; None or nothing for one that it does not have."""
 
     dialects: Dialects | None = None
+    listeners: tuple[Listener, ...] = ()
 
 
-def read_operator(path: Path, known_dialects: frozenset[str]) -> Operator:
-    """Reads the file.  `known_dialects` are those that servers may speak.  Raises BadOperatorFile."""
+def read_operator(path: Path, servers: frozenset[str], clients: frozenset[str]) -> Operator:
+    """Reads the file.  `servers` and `clients` are the dialects that each may speak.  Raises
+    BadOperatorFile."""
     try:
         data = path.read_bytes()
         if len(data) > LONGEST:
@@ -50,10 +61,9 @@
         raise BadOperatorFile(f"{path}: not UTF-8: {error.reason}") from None
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise BadOperatorFile(f"{path}: not TOML: {error}") from None
-    _known(f"{path}", table, ("dialects",))
-    if "dialects" not in table:
-        return Operator()
-    return Operator(_dialects(f"{path}: dialects", table["dialects"], known_dialects))
+    _known(f"{path}", table, ("dialects", "listener"))
+    dialects = _dialects(f"{path}: dialects", table["dialects"], servers) if "dialects" in table else None
+    return Operator(dialects, _listeners(f"{path}: listener", table.get("listener", []), clients))
 
 
 def _known(where: str, table: Any, allowed: tuple[str, ...]) -> None:
@@ -64,6 +74,26 @@
             raise BadOperatorFile(f"{where}: {key}: not known; allowed are {', '.join(allowed)}")
 
 
+def _listeners(where: str, rows: Any, known: frozenset[str]) -> tuple[Listener, ...]:
+    if not isinstance(rows, list) or len(rows) > MOST_LISTENERS:
+        raise BadOperatorFile(f"{where}: not a list of {MOST_LISTENERS} tables at most; write [[listener]]")
+    made: list[Listener] = []
+    for n, row in enumerate(rows, 1):
+        spot = f"{where} {n}"
+        _known(spot, row, ("address", "dialect"))
+        if row.get("dialect") not in known:
+            raise BadOperatorFile(f"{spot}: dialect: {row.get('dialect')!r} is no dialect of clients; there "
+                                  f"are {', '.join(sorted(known))}")
+        try:
+            address = read_address(str(row.get("address", "")), f"{spot}: address")
+        except BadConfig as error:
+            raise BadOperatorFile(str(error)) from None
+        if address in (other.address for other in made if other.address[1]):
+            raise BadOperatorFile(f"{spot}: address: {row['address']!r} stands twice")
+        made.append(Listener(address, row["dialect"]))
+    return tuple(made)
+
+
 def _dialects(where: str, table: Any, known: frozenset[str]) -> Dialects:
     _known(where, table, ("default", "kinds", "cells"))
 
--- a/mulleinhall/resp/back.py
+++ b/mulleinhall/resp/back.py
@@ -9,7 +9,8 @@
 from mulleinhall.core.calls import Call
 from mulleinhall.interface import Outcome
 from mulleinhall.resp.commands import encode
-from mulleinhall.resp.frames import BadFrame, array_end
+from mulleinhall.resp.frames import array_end
+from mulleinhall.transport.talk import BadFrame
 from mulleinhall.transport.wire import Done, Spoilt
 from mulleinhall.wire import LOADS
 
--- a/mulleinhall/resp/frames.py
+++ b/mulleinhall/resp/frames.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
+from mulleinhall.transport.talk import BadFrame
+
 LONGEST_HEADER = 16  # bytes of a line that holds a count or a length
 ARRAY, STRING = ord("*"), ord("$")
 
 
-class BadFrame(Exception):
-    """What came is no frame, or one beyond the limits; nothing behind it can be understood."""
-
-
 def _part(data: bytes, at: int, mark: int) -> None:
     """A header that is no figure from 0 up: returns if it may still become one."""
     text = data[at:at + LONGEST_HEADER].partition(b"\r")
--- a/mulleinhall/resp/front.py
+++ b/mulleinhall/resp/front.py
@@ -1,407 +1,66 @@
-"""Clients: a RESP2 server.  Commands become requests; answers go back in the order of the commands."""
+"""The front's codec of RESP2: commands become calls, and answers become replies."""
 
 from __future__ import annotations
 
-import asyncio
-import errno
-import logging
-import socket
-from collections import deque
+from collections.abc import Callable
+from functools import partial
 from math import ceil
-from typing import Any, Protocol, cast
 
 import hiredis
 
-from mulleinhall.core.calls import Answer, Duplicate, Kind
-from mulleinhall.core.clock import Clock
+from mulleinhall.core.calls import Answer, BadCall, Call, Kind
 from mulleinhall.interface import Settings
-from mulleinhall.resp.commands import LARGEST, BadCommand, Command, CommandReader, bulk
-from mulleinhall.resp.frames import BadFrame, array_end
+from mulleinhall.resp.commands import LARGEST, CommandReader, bulk
+from mulleinhall.resp.frames import array_end
+from mulleinhall.transport.talk import BadFrame
 
-log = logging.getLogger(__name__)
-
-MOST_PIPELINED = 64  # commands of a connection that wait for an answer; more are not read
 LONGEST_COMMAND = 256 * 1024  # bytes of a command
 MOST_WORDS = 8  # of a command; no known one has more than 5
-MOST_BAD = 8  # malformed commands in a row after which the connection ends
-BACKLOG = 512
-AT_ONCE = 16  # connections accepted in one turn of the loop, and places kept free for them
-SWEEP = 0.25  # s between looks at all connections
-PATIENCE = 2.0  # s for a first command, for the rest of one that has begun, and for reading answers
-SILENT = 0.1  # s after which a connection that has not asked yet may go before a new one
-IDLE = 5.0  # s after which a connection without an open request is closed
-LINGER = 1.0  # s for a client to read its last error, while what it sends is thrown away
-MOST_THROWN = 1024 * 1024  # bytes thrown away on a connection; then it is not read any more
-LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
-LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
 OK, PONG, BUSY, ERR_FAILED = b"+OK\r\n", b"+PONG\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
 
 
-class Handler(Protocol):
-    """Who takes the requests: the exchange."""
-
-    def request(self, front: Slot, call: Command, arrived: float) -> None: ...
-
-    def hung_up(self, front: Slot) -> None: ...
-
-
-class Slot:
-    """The place of one answer in the order of its connection."""
-
-    __slots__ = ("client", "data", "key")
-
-    def __init__(self, client: Client) -> None:
-        self.client, self.key = client, ""
-        self.data: bytes | None = None
-
-    def answer(self, answer: Answer) -> None:
-        """The one final answer; a second is dropped."""
-        if answer.kind is Kind.SERVED:
-            self.put(bulk(answer.value))
-        elif answer.kind is Kind.FAILED:
-            self.put(ERR_FAILED)
-        else:
-            wait = answer.retry_after
-            self.put(b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY)
-
-    def put(self, data: bytes) -> None:
-        if self.data is None:
-            self.data = data
-            self.client.flush()
-
+class RespTalk:
+    """One connection of a client that speaks RESP2."""
 
-class Client(asyncio.Protocol):
-    """One connection of a client."""
+    __slots__ = ("commands", "last", "reader")
 
-    def __init__(self, server: Clients) -> None:
-        self.server = server
-        self.reader = hiredis.Reader()
-        self.slots: deque[Slot] = deque()
-        self.transport: asyncio.Transport | None = None
-        self.rest = b""  # what came and is no whole command yet, or is not read yet
-        self.arrived = self.used = server.clock()
-        self.since: float | None = None  # when the command began that has come in part only
-        self.choked_at: float | None = None  # since when the client has not read its answers
-        self.bad, self.thrown, self.full, self.ending = 0, 0, False, False
+    def __init__(self, commands: CommandReader) -> None:
+        self.commands, self.reader, self.last = commands, hiredis.Reader(), False
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
-        self.used = self.server.clock()
-        self.server.fresh[self] = None
-        if self.server.draining:
-            # Guards against a connection accepted last that would stay: its request may be on the way.
-            self.server.loop.call_later(LAST_CHANCE, self._end_if_idle)
+    def end(self, data: bytes, at: int) -> int:
+        return array_end(data, at, MOST_WORDS, LARGEST, LONGEST_COMMAND)
 
-    def data_received(self, data: bytes) -> None:
-        if self.ending:
-            self._throw(len(data))
-            return
-        self.arrived = self.server.clock()
-        self.server.held += len(data)
-        self.rest = self.rest + data if self.rest else data
-        self._parse()
-        if self.rest and self.server.held > self.server.most_held and not self.ending:
-            # Guards the memory: large commands that come in part only, on many connections at once.
-            self._broken("too much is on the way")
+    def prompt(self) -> bytes:
+        return b""
 
-    def _parse(self) -> None:
-        data, self.rest, at, whole = self.rest, b"", 0, True
-        self.server.held -= len(data)
-        while self.transport is not None and not self.ending and self.choked_at is None:
-            self.full = len(self.slots) >= MOST_PIPELINED
-            if self.full or at == len(data):
-                break
-            try:
-                end = array_end(data, at, MOST_WORDS, LARGEST, LONGEST_COMMAND)
-                if end < 0:
-                    whole = False
-                    break
-                self.reader.feed(data[at:end])
-                words = self.reader.gets()
-            except (BadFrame, hiredis.HiredisError) as error:
-                self._broken(str(error))
-                break
-            at, self.since = end, None
-            self._command(words)
-        if not self.ending and self.transport is not None:
-            self.rest = data[at:]
-            self.server.held += len(self.rest)
-        if whole:
-            self.since = None
-        elif self.since is None:
-            self.since = self.arrived
-        self._pace()
-
-    def _command(self, words: list[bytes]) -> None:
-        slot = Slot(self)
-        if not self.slots:
-            self.server.busy(self)
-        self.slots.append(slot)
+    def read(self, frame: bytes) -> Call | bytes:
         try:
-            if not words:
-                raise BadCommand("a command is an array of bulk strings")
-            verb = words[0].upper()
-            if verb in (b"API.READ", b"API.WRITE"):
-                command = self.server.commands.read(verb, words)
-                self.bad = 0
-                self.server.handler.request(slot, command, self.arrived)
-            elif verb == b"PING" and len(words) <= 2:
-                slot.put(bulk(words[1]) if len(words) == 2 else PONG)
-            elif verb in (b"CLIENT", b"SELECT"):
-                slot.put(OK)
-            else:
-                raise BadCommand("unknown command")
-        except (BadCommand, Duplicate) as error:
-            self.bad += 1
-            self.ending = self.bad >= MOST_BAD  # it does not learn: the others' time is not for it
-            self.server.note(str(error))
-            slot.put(b"-ERR %b\r\n" % str(error).encode())
-        except Exception:
-            # Guards the process, and the others on this connection, against a fault in one request.
-            log.exception("a request failed")
-            slot.put(b"-ERR internal error\r\n")
-
-    def _broken(self, why: str) -> None:
-        """Nothing that follows can be understood: the connection ends after the answers that are owed."""
-        self.server.note(why)
-        self.ending = True
-        self.server.held -= len(self.rest)
-        self.rest = b""
-        if not self.slots:
-            self.server.busy(self)
-        slot = Slot(self)
-        self.slots.append(slot)
-        slot.put(b"-ERR %b\r\n" % why.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" "))
-
-    def _throw(self, size: int) -> None:
-        """Guards the last error against the reset that unread input would make of the close."""
-        self.thrown += size
-        if self.thrown > MOST_THROWN and self.transport is not None:
-            self.transport.pause_reading()
-
-    def flush(self) -> None:
-        ready = []
-        while self.slots and self.slots[0].data is not None:
-            ready.append(self.slots.popleft().data or b"")
-        if self.transport is None or not ready:
-            return
-        self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
-        if not self.slots:
-            self.used = self.server.clock()
-            self.server.rests(self)
-            if self.ending:
-                self.transport.write_eof()
-            elif self.server.draining:
-                self.end()
-        if self.full and not self.ending and len(self.slots) <= MOST_PIPELINED // 2:
-            self.full = False
-            self.server.loop.call_soon(self._parse)
-
-    def _end_if_idle(self) -> None:
-        if not self.slots:
-            self.end()
-
-    def end(self) -> None:
-        """Closes once what was written has gone out."""
-        if self.transport is not None:
-            self.transport.close()
-
-    def look(self, now: float) -> None:
-        """Ends a client that keeps its place for nothing; each limit runs from when the wait began, so that
-        a byte now and then does not draw it out."""
-        if self.transport is None:
-            return
-        if self.ending and not self.slots:
-            if now - self.used > LINGER:
-                self.transport.abort()
-        elif self.choked_at is not None:
-            if now - self.choked_at > PATIENCE:
-                self.transport.abort()
-        elif self.since is not None:
-            if now - self.since > PATIENCE:
-                self._broken("the rest of the command did not come")
-        elif not self.slots and now - self.used > (PATIENCE if self in self.server.fresh else IDLE):
-            self.end()
-
-    def _pace(self) -> None:
-        """Back-pressure: a client that does not read its answers, or sends far ahead, is not read."""
-        if self.transport is None or self.transport.is_closing() or self.ending:
-            return
-        if self.full or self.choked_at is not None:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
-
-    def pause_writing(self) -> None:
-        self.choked_at = self.server.clock()
-        self._pace()
-
-    def resume_writing(self) -> None:
-        self.choked_at = None
-        self.server.loop.call_soon(self._parse)
-
-    def eof_received(self) -> None:
-        self.gone()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.gone()
-        self.server.left(self)
-
-    def gone(self) -> None:
-        """The client went away: nobody waits for what is open."""
-        self.transport, slots, self.slots = None, self.slots, deque()
-        self.server.held -= len(self.rest)
-        self.rest = b""
-        self.server.busy(self)
-        for slot in slots:
-            if slot.data is None:
-                slot.data = b""
-                self.server.handler.hung_up(slot)
-
-
-class Clients:
-    """The listener and all connections of clients, no more than `most`.
-
-    Those without an open request stand in one of three lines, the longest waiting first: who ends, who
-    has asked nothing yet, who has.  From these come the ones that make room for new ones.
-    """
-
-    def __init__(self, address: tuple[str, int], most: int, most_held: int, settings: Settings,
-                 handler: Handler, clock: Clock) -> None:
-        self.loop, self.clock, self.most, self.handler = asyncio.get_running_loop(), clock, most, handler
-        self.commands = CommandReader(settings)
-        self.connections: set[Client] = set()
-        self.leaving: set[Client] = set()  # closed for others, though their places are not free yet
-        self.ended: dict[Client, None] = {}
-        self.fresh: dict[Client, None] = {}
-        self.idle: dict[Client, None] = {}
-        self.held, self.most_held = 0, most_held  # bytes that came and are no command yet
-        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
-        self.tasks: set[asyncio.Task[Any]] = set()
-        self.draining, self.waiting, self.bad, self.short = False, False, 0, 0
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setblocking(False)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(address)
-
-    def open(self) -> None:
-        self.listener.listen(BACKLOG)
-        self.loop.add_reader(self.listener, self._accept)
-
-    def _accept(self) -> bool:
-        """Accepts some; whether there may be more."""
-        for _ in range(AT_ONCE):
-            if len(self.connections) >= self.most:
-                # Guards against running out of descriptors: new ones wait until one has left.
-                if not self.leaving:
-                    self._spare()
-                self._wait()
-                return False
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return False
-            except OSError as error:
-                if error.errno != errno.ECONNABORTED:
-                    self.shortage("accept", error)
-                    self._wait()
-                return False
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self)
-            self.connections.add(client)
-            task = self.loop.create_task(self._attach(client, sock))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-            staying = len(self.connections) - len(self.leaving)
-            if staying > self.most - max(1, min(AT_ONCE, self.most // 8)):
-                self._spare()
-        return True
-
-    def _wait(self) -> None:
-        """The listener is looked at again when a connection has left, or at the next sweep."""
-        if not self.waiting:
-            self.waiting = True
-            self.loop.remove_reader(self.listener)
-
-    def _go_on(self) -> None:
-        if self.waiting and not self.draining:
-            self.waiting = False
-            self.loop.add_reader(self.listener, self._accept)
-
-    async def _attach(self, client: Client, sock: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: client, sock)
-        except OSError as error:
-            log.warning("accepted connection: %s", error)
-            sock.close()
-            self.left(client)
-
-    def shortage(self, where: str, error: OSError) -> None:
-        self.short += 1
-        if self.short <= LOGGED or self.short % 1000 == 0:
-            log.warning("%s: %s", where, error)
-
-    def busy(self, client: Client) -> None:
-        """The client stands in no line."""
-        self.ended.pop(client, None)
-        self.fresh.pop(client, None)
-        self.idle.pop(client, None)
-
-    def rests(self, client: Client) -> None:
-        """The client has no open request any more."""
-        (self.ended if client.ending else self.idle)[client] = None
-
-    def _spare(self) -> None:
-        """Makes room by closing the connection that is missed least."""
-        now = self.clock()
-        # Guards against a request that is on its way on a connection just accepted: such a one never goes.
-        for line, age in ((self.ended, 0.0), (self.fresh, SILENT), (self.idle, 0.0)):
-            client = next(iter(line), None)
-            if client is not None and now - client.used >= age:
-                self.busy(client)
-                if client.transport is not None:
-                    self.leaving.add(client)
-                    client.transport.abort()
-                return
-
-    def _sweep(self) -> None:
-        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
-        now = self.clock()
-        for client in list(self.connections):
-            client.look(now)
-        self._go_on()
-
-    def _close_listener(self) -> None:
-        if self.listener.fileno() >= 0:
-            self.loop.remove_reader(self.listener)
-            self.listener.close()
-
-    def left(self, client: Client) -> None:
-        self.connections.discard(client)
-        self.leaving.discard(client)
-        self._go_on()
-
-    def note(self, why: str) -> None:
-        self.bad += 1
-        if self.bad <= LOGGED or self.bad % 1000 == 0:
-            log.warning("malformed command %d: %s", self.bad, why)
+            self.reader.feed(frame)
+            words: list[bytes] = self.reader.gets()
+        except hiredis.HiredisError as error:
+            raise BadFrame(str(error)) from None
+        if not words:
+            raise BadCall("a command is an array of bulk strings")
+        verb = words[0].upper()
+        if verb in (b"API.READ", b"API.WRITE"):
+            return self.commands.read(verb, words)
+        if verb == b"PING" and len(words) <= 2:
+            return bulk(words[1]) if len(words) == 2 else PONG
+        if verb in (b"CLIENT", b"SELECT"):
+            return OK
+        raise BadCall("unknown command")
+
+    def word(self, call: Call | None, answer: Answer) -> bytes:
+        if answer.kind is Kind.SERVED:
+            return bulk(answer.value)
+        if answer.kind is Kind.FAILED:
+            return ERR_FAILED
+        wait = answer.retry_after
+        return b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY
 
-    def empty(self) -> bool:
-        return not self.connections
+    def error(self, why: str, broken: bool = False) -> bytes:
+        return b"-ERR %b\r\n" % why.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
 
-    def drain(self) -> None:
-        """Accepts what has come, closes the listener, and each connection as it falls idle."""
-        self.draining = True
-        while not self.waiting and self._accept():
-            pass
-        self._close_listener()
-        for client in list(self.connections):
-            if not client.slots:
-                client.end()
 
-    def close(self) -> None:
-        self.sweeper.cancel()
-        self._close_listener()
-        for client in list(self.connections):
-            client.end()
+def make_talk(settings: Settings) -> Callable[[], RespTalk]:
+    return partial(RespTalk, CommandReader(settings))
--- a/mulleinhall/translating.py
+++ b/mulleinhall/translating.py
@@ -15,14 +15,32 @@
 from mulleinhall.platform.config import Config
 from mulleinhall.platform.discovery import Listing
 from mulleinhall.platform.operator import BadOperatorFile, Dialects
+from mulleinhall.resp import front as resp
 from mulleinhall.resp.back import RespWire
 from mulleinhall.transport.pool import Backends
+from mulleinhall.transport.talk import MakeTalk
 from mulleinhall.transport.wire import MakeWire
 
 SERVER_DIALECTS = frozenset({"resp2-v1", "http-v2"})  # those that there is a back for
+CLIENT_DIALECTS = frozenset({"resp2-v1", "http-v2"})  # those that there is a front for
 HOST = "grid.internal"  # told to new servers; connections go to discovery's addresses alone
 
 
+def talk(name: str, settings: Settings) -> MakeTalk:
+    """The codec of clients of that dialect.  Raises BadOperatorFile where its library is not installed."""
+    if name == "resp2-v1":
+        return resp.make_talk(settings)
+    try:
+        from mulleinhall.http.talk import make_talk
+    except ImportError as error:
+        raise _missing(name, error) from None
+    return make_talk(settings)
+
+
+def _missing(name: str, error: ImportError) -> BadOperatorFile:
+    return BadOperatorFile(f"{name} needs {error.name}: pip install 'mulleinhall[http]'")
+
+
 class Translator:
     """The back of a mixed fleet, and what the module is told of it."""
 
@@ -48,8 +66,7 @@
         try:
             from mulleinhall.http.wire import make_wire
         except ImportError as error:
-            raise BadOperatorFile(f"dialects: {name} needs {error.name}: "
-                                  "pip install 'mulleinhall[http]'") from None
+            raise _missing(name, error) from None
         return make_wire(HOST, RESP2_V1.largest_value, self.reasons)
 
     def back(self, clock: Clock, ended: Ended) -> Fan:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -16,7 +16,7 @@
 from mulleinhall.core.clock import unix_clock
 from mulleinhall.ingress import Ingress
 from mulleinhall.platform.config import Config
-from mulleinhall.resp import front as clients
+from mulleinhall.transport import listener as clients
 from tests.peers import (
     Caller,
     Peer,
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -19,7 +19,7 @@
 from mulleinhall.ingress import Ingress
 from mulleinhall.platform.discovery import read_listing
 from mulleinhall.platform.operator import BadOperatorFile, Dialects, Operator, read_operator
-from mulleinhall.translating import SERVER_DIALECTS, Translator
+from mulleinhall.translating import CLIENT_DIALECTS, SERVER_DIALECTS, Translator
 from tests.peers import SETTINGS, Caller, Peer, backend, command, config, entry, run, until, value
 from tests.test_http_wire import h11_server, problem, response
 from tests.test_ingress import Stub
@@ -29,10 +29,16 @@
 
 
 @pytest.mark.parametrize(("text", "words"), [
-    ("x = ", "not TOML"), ("listen = 3", "listen: not known; allowed are dialects"),
+    ("x = ", "not TOML"), ("listen = 3", "listen: not known; allowed are dialects, listener"),
     ("dialects = 3", "not a table"),
     ("[dialects]\ndefault = 'gopher'", "default: 'gopher' is no dialect of servers; there are http-v2"),
     ("[dialects]\nkinds = 3", "kinds: not a table"), ("[dialects]\nkind = {}", "kind: not known"),
+    ("listener = 3", "listener: not a list"), ("listener = [3]", "listener 1: not a table"),
+    ("[[listener]]\ndialect = 'x'", "listener 1: dialect: 'x' is no dialect of clients; there are http-v2"),
+    ("[[listener]]\ndialect = 'http-v2'", "listener 1: address: '' is not an address and port"),
+    ("[[listener]]\ndialect = 'http-v2'\naddress = '127.0.0.1:99999'", "listener 1: address"),
+    ("[[listener]]\ndialect = 'http-v2'\naddress = '127.0.0.1:7'\n" * 2,
+     "listener 2: address: '127.0.0.1:7' stands twice"),
     ("[dialects.kinds]\nm2 = 7", "kinds.m2: 7 is no dialect"),
     ("[dialects.cells]\nx = 'http-v2'", "cells.x: 'x' is not the number of a cell"),
     ("[dialects.cells]\n9999999999 = 'http-v2'", "is not the number of a cell"),
@@ -41,7 +47,7 @@
     path = tmp_path / "ingress.toml"
     path.write_text(text, encoding="utf-8")
     with pytest.raises(BadOperatorFile) as error:
-        read_operator(path, SERVER_DIALECTS)
+        read_operator(path, SERVER_DIALECTS, CLIENT_DIALECTS)
     assert words in str(error.value) and str(path) in str(error.value)
 
 
@@ -51,17 +57,17 @@
         if data is not None:
             path.write_bytes(data)
         with pytest.raises(BadOperatorFile, match=str(path)):
-            read_operator(path, SERVER_DIALECTS)
+            read_operator(path, SERVER_DIALECTS, CLIENT_DIALECTS)
 
 
 def test_a_good_file_maps_kinds_and_cells(tmp_path: Path) -> None:
     path = tmp_path / "ingress.toml"
     path.write_text("[dialects]\ndefault = 'http-v2'\n[dialects.kinds]\nold = 'resp2-v1'\n"
                     "[dialects.cells]\n7 = 'http-v2'\n", encoding="utf-8")
-    assert read_operator(path, SERVER_DIALECTS).dialects == Dialects(
+    assert read_operator(path, SERVER_DIALECTS, CLIENT_DIALECTS).dialects == Dialects(
         "http-v2", {"old": "resp2-v1"}, {7: "http-v2"})
     path.write_text("", encoding="utf-8")
-    assert read_operator(path, SERVER_DIALECTS) == Operator()
+    assert read_operator(path, SERVER_DIALECTS, CLIENT_DIALECTS) == Operator()
 
 
 @pytest.mark.parametrize(("arguments", "words"), [
