resp3-v2 both ways, and a run's own loopback addresses in the lab

New: resp3-v2 (HELLO 3, maps, nulls, doubles, blob errors, push frames) as front and back, sharing the old servers' memory of keys.

--- a/mulleinhall/dialects/pairs.py
+++ b/mulleinhall/dialects/pairs.py
@@ -96,6 +96,9 @@
         steps = says is Says.REFUSED_UNTIL and client.refusal_unit > server.refusal_unit
         return Cell(says.value, "said", "said", Fate.LOSSY if steps else Fate.CARRIED,
                     f"rounded up to {client.refusal_unit:g} s" if steps else "the same")
+    if says is Says.UNASKED:
+        return Cell(says.value, "no words", "said", Fate.LOSSY,
+                    "dropped between two answers; counted as pushed")
     instead, why = INSTEAD[says]
     fate = Fate.LOSSY if instead is Says.REFUSED else Fate.IMPOSSIBLE
     return Cell(says.value, "no words", "said", fate, f"told as {instead.name.lower()}: {why}")
--- a/mulleinhall/lab/ingresses.py
+++ b/mulleinhall/lab/ingresses.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from mulleinhall.lab.deployment import Deployment
+from mulleinhall.lab.hosts import host
 from mulleinhall.lab.record import Life, Record
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -64,9 +65,8 @@
                  folder: Path, command: str, seed: int) -> None:
         self.number, self.deployment, self.record, self.clock = number, deployment, record, clock
         self.name, self.command, self.seed, self.starts = f"ingress-{number}", command, seed, 0
-        # Its own address, so that no client's outgoing port, and no other run's ingress, can be at the port
-        # that it comes back to.
-        self.host = f"127.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250}.{number + 1}"
+        # Its own address, so that no client's outgoing port can be the one that it comes back to.
+        self.host = host(number + 1)
         self.address = self.host, free_port(self.host)
         self.folder = folder / self.name
         self.folder.mkdir()
--- a/mulleinhall/translating.py
+++ b/mulleinhall/translating.py
@@ -16,13 +16,14 @@
 from mulleinhall.platform.discovery import Listing
 from mulleinhall.platform.operator import BadOperatorFile, Dialects
 from mulleinhall.resp import front as resp
+from mulleinhall.resp import resp3
 from mulleinhall.resp.back import RespWire
 from mulleinhall.transport.pool import Backends
 from mulleinhall.transport.talk import MakeTalk
 from mulleinhall.transport.wire import MakeWire
 
-SERVER_DIALECTS = frozenset({"resp2-v1", "http-v2"})  # those that there is a back for
-CLIENT_DIALECTS = frozenset({"resp2-v1", "http-v2"})  # those that there is a front for
+SERVER_DIALECTS = frozenset({"resp2-v1", "resp3-v2", "http-v2"})  # those that there is a back for
+CLIENT_DIALECTS = frozenset({"resp2-v1", "resp3-v2", "http-v2"})  # those that there is a front for
 HOST = "grid.internal"  # told to new servers; connections go to discovery's addresses alone
 
 
@@ -30,6 +31,8 @@
     """The codec of clients of that dialect.  Raises BadOperatorFile where its library is not installed."""
     if name == "resp2-v1":
         return resp.make_talk(settings)
+    if name == "resp3-v2":
+        return resp3.make_talk(settings)
     try:
         from mulleinhall.http.talk import make_talk
     except ImportError as error:
@@ -63,6 +66,8 @@
     def _wire(self, name: str) -> MakeWire:
         if name == "resp2-v1":
             return RespWire
+        if name == "resp3-v2":
+            return resp3.make_wire(RESP2_V1.largest_value, self.reasons)
         try:
             from mulleinhall.http.wire import make_wire
         except ImportError as error:
