--- a/mulleinhall/lab/customers.py
+++ b/mulleinhall/lab/customers.py
@@ -69,11 +69,11 @@
         self.transport: asyncio.Transport | None = None
         self.current: tuple[Try, Ask] | None = None
         self.last: Try | None = None
-        self.used, self.made = False, 0.0
+        self.used, self.port = False, 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.made = self.customers.clock()
+        self.port = self.transport.get_extra_info("sockname")[1]
         self.customers.lines += 1
         self.customers.most_lines = max(self.customers.most_lines, self.customers.lines)
 
@@ -127,12 +127,10 @@
         door = self.customers.doors[self.ingress]
         if self in door.idle:
             door.idle.remove(self)
+        cut = door.link is not None and door.link.broken.pop(self.port, None) is not None
         if self.current is not None:
             (tried, ask), self.current = self.current, None
-            tried.ended = self.customers.clock()
-            if door.link is not None and self.transport is not None:
-                port = self.transport.get_extra_info("sockname")[1]
-                tried.cut = door.link.broken.get(port, float("-inf")) >= self.made
+            tried.ended, tried.cut = self.customers.clock(), cut
             self.customers.broke(tried, ask)
         if self.transport is not None:
             self.transport.close()
