Take out a seeded fault that no test plays

Cause: tests/faulty.py held one_group, an ingress that takes the memories of all generations for one, without a test that plays it. Result: the other seeded faults are named as before.

--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -8,7 +8,6 @@
 
 import mulleinhall.interface as api
 from mulleinhall import __main__ as program
-from mulleinhall import translating
 from mulleinhall.core.calls import Answer, Call, Kind
 from mulleinhall.core.exchange import Exchange, Open
 from mulleinhall.core.ports import Attempt
@@ -135,11 +134,6 @@
     self.exchange.request = request  # type: ignore[method-assign]
 
 
-def one_group(settings: api.Settings) -> api.Settings:
-    """Takes the memories of all generations for one."""
-    return settings
-
-
 FAULTS: dict[str, list[tuple[Any, str, Any]]] = {
     "none": [],
     "lose": [(Exchange, "_answer", lose)], "late": [(Exchange, "_answer", late)],
@@ -149,7 +143,6 @@
     "deaf": [(Exchange, "listed", deaf)], "slow_ear": [(Exchange, "listed", slow_ear)],
     "fair_share": [(Exchange, "_send", fair_share)],
     "crowd": [(Exchange, "listed", notes_starts), (Exchange, "_send", crowd)],
-    "one_group": [(translating, "settings_for", one_group)],
     "no_ceiling": [(Ingress, "__init__", no_ceiling)], "alone": [(Ingress, "__init__", alone)],
 }
 
