Whatever a codec raises becomes one malformed answer or one failed attempt

A client of http-v2 whose JSON held half a surrogate pair got no answer: its connection dropped with a traceback. Listener and pool now take whatever a codec raises beside its own error as one malformed request, one failed answer or one failed attempt, count it and go on; a frame that can't be cut ends its connection alone. Errors to clients of http-v2 name that dialect's fields. Empty lines before a request line are passed over (RFC 9112, 2.2), trailers are read and dropped (RFC 9110, 6.5.1), both within bounds.

--- a/mulleinhall/core/terms.py
+++ b/mulleinhall/core/terms.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Mapping
 from math import ceil
+from types import MappingProxyType
 
 from mulleinhall.core.calls import BadCall
 from mulleinhall.interface import RequestClass, Semantics, Settings
@@ -25,12 +26,14 @@
         self.plans = {p.name for p in settings.plans}
         self.gateways, self.most_units = settings.gateways, settings.most_units
 
-    def read(self, names: Mapping[str, str], write: bool) -> tuple[float, float, int, int]:
+    def read(self, names: Mapping[str, str], write: bool,
+             called: Mapping[str, str] = MappingProxyType({})) -> tuple[float, float, int, int]:
         """The wait in seconds, the units, the spread and the first ingress of the set.  `names` are c, t, d,
-        k, units, spread, first and r, as in today's commands.  Raises BadCall, which names what is wrong."""
+        k, units, spread, first and r, as in today's commands; `called` is what a dialect calls them where it
+        has other words.  Raises BadCall, which names what is wrong in the dialect's own words."""
         for key in ("c", "t", "d"):
             if key not in names:
-                raise BadCall(f"{key} is missing")
+                raise BadCall(f"{called.get(key, key)} is missing")
         cls = self.classes.get(names["c"])
         if cls is None:
             raise BadCall("unknown class")
@@ -39,19 +42,20 @@
         if write is (cls.semantics is Semantics.SAFE):
             raise BadCall("the class belongs to the other command")
         if cls.semantics is Semantics.KEYED and not names.get("k"):
-            raise BadCall("k is missing")
+            raise BadCall(f"{called.get('k', 'k')} is missing")
         units = names.get("units", "1")
         if not DECIMAL.fullmatch(units) or not 0 < float(units) <= self.most_units:
-            raise BadCall("bad number: units")
+            raise BadCall(f"bad number: {called.get('units', 'units')}")
         if names.get("r", "0") not in ("0", "1"):
-            raise BadCall("bad number: r")
+            raise BadCall(f"bad number: {called.get('r', 'r')}")
         # A client that is late itself counts its wait from when it should have sent.
-        return (_whole(names, "d", 1, ceil(2 * cls.deadline * 1000)) / 1000, float(units),
-                _whole(names, "spread", 1, self.gateways), _whole(names, "first", 0, self.gateways - 1))
+        return (_whole(names, "d", 1, ceil(2 * cls.deadline * 1000), called) / 1000, float(units),
+                _whole(names, "spread", 1, self.gateways, called),
+                _whole(names, "first", 0, self.gateways - 1, called))
 
 
-def _whole(names: Mapping[str, str], key: str, least: int, most: int) -> int:
+def _whole(names: Mapping[str, str], key: str, least: int, most: int, called: Mapping[str, str]) -> int:
     text = names.get(key, str(least))
     if not WHOLE.fullmatch(text) or not least <= int(text) <= most:
-        raise BadCall(f"bad number: {key}")
+        raise BadCall(f"bad number: {called.get(key, key)}")
     return int(text)
--- a/mulleinhall/dialects/http_v2.py
+++ b/mulleinhall/dialects/http_v2.py
@@ -108,6 +108,8 @@
 
 FIELDS = {b"grid-plan": "t", b"grid-deadline-ms": "d", b"grid-units": "units", b"grid-spread": "spread",
           b"grid-first": "first", b"grid-retry": "r"}
+CALLED = {name: field.decode().title() for field, name in FIELDS.items()} | {
+    "c": "class", "k": "Idempotency-Key"}
 ID = re.compile(rb"[!-~]{1,128}")
 QUOTED_UUID = re.compile(rb'"?([0-9a-fA-F]{8}(?:-[0-9a-fA-F]{4}){3}-[0-9a-fA-F]{12})"?')
 
@@ -136,7 +138,7 @@
             raise BadCall("Idempotency-Key is not a UUID")
         uuid = UUID(found[1].decode("ascii"))
         names["k"] = key_of(uuid, customer, names["c"])
-    wait, units, spread, first = terms.read(names, write)
+    wait, units, spread, first = terms.read(names, write, CALLED)
     return HttpCall(name, customer, names["c"], names["t"], wait, units, spread, first, names.get("r") == "1",
                     write, names.get("k", ""), solution, uuid)
 
@@ -147,6 +149,7 @@
         cls, text = told["class"], told["solution"]
         if not isinstance(cls, str) or not isinstance(text, str):
             raise BadCall("class or solution is no text")
+        cls.encode()  # JSON can hold half a surrogate pair, which no other dialect can say
         return cls, base64.b64decode(text, validate=True)
     except (ValueError, KeyError, TypeError, RecursionError):
         raise BadCall("the body is not a class and a solution in JSON") from None
--- a/mulleinhall/http/frames.py
+++ b/mulleinhall/http/frames.py
@@ -11,6 +11,8 @@
 LARGEST_BODY = 256 * 1024  # bytes of a body, with what chunks put round it
 MOST_CHUNKS = 4096
 LONGEST_CHUNK_HEAD = 64  # bytes of a chunk's size and extensions
+LONGEST_TRAILERS = 4 * 1024  # bytes of the fields behind a body; they are read and dropped
+MOST_EMPTY_LINES = 2  # before a request line
 LENGTH = re.compile(rb"[0-9]{1,9}")
 SIZE = re.compile(rb"([0-9a-fA-F]{1,6})(?:;[^\r\n]*)?")
 ONCE = {b"content-length", b"transfer-encoding", b"host", b"x-request-id", b"idempotency-key",
@@ -44,12 +46,25 @@
     return end
 
 
+def skip_empty(data: bytes, at: int) -> int:
+    """Where the request line begins: empty lines before it are passed over (RFC 9112, section 2.2), a few.
+    A peer that sends nothing else is not listened to for ever."""
+    for _ in range(MOST_EMPTY_LINES):
+        if not data.startswith(b"\r\n", at):
+            return at
+        at += 2
+    if data.startswith(b"\r\n", at):
+        raise BadFrame("empty lines in place of a request")
+    return at
+
+
 def request_end(data: bytes, at: int) -> int:
     """Where the request that starts at `at` ends, or -1 if more of it is to come.
 
     Guards against two readings of one length (request smuggling): a length beside chunks, two lengths, or
     another transfer coding than chunked alone is no request.
     """
+    at = skip_empty(data, at)
     end = head_end(data, at)
     if end < 0:
         if b"\n" in data[at:at + LONGEST_HEAD].replace(b"\r\n", b""):
@@ -79,19 +94,35 @@
         size = SIZE.fullmatch(data[at:end])
         if size is None:
             raise BadFrame("a chunk without a size")
+        if int(size[1], 16) == 0:
+            return _trailers_end(data, end + 2)
         at = end + 2 + int(size[1], 16) + 2
         if at - body > LARGEST_BODY:
             raise BadFrame("a body too large")
         if len(data) < at:
             return -1
         if data[at - 2:at] != b"\r\n":
-            raise BadFrame("a chunk whose size does not fit, or trailers")
-        if int(size[1], 16) == 0:
-            return at
+            raise BadFrame("a chunk whose size does not fit")
     raise BadFrame("chunks without end")
 
 
+def _trailers_end(data: bytes, at: int) -> int:
+    """Where the trailers end that start at `at`.  Nothing of them is used (RFC 9110, section 6.5.1)."""
+    if data.startswith(b"\r\n", at):
+        return at + 2
+    end = data.find(b"\r\n\r\n", at, at + LONGEST_TRAILERS)
+    if end < 0:
+        if len(data) - at >= LONGEST_TRAILERS:
+            raise BadFrame("trailers too large")
+        if b"\n" in data[at:].replace(b"\r\n", b""):
+            raise BadFrame("a line that ends in a bare line feed")
+        return -1
+    fields(b"\r\n" + data[at:end])  # each must be a field
+    return end + 4
+
+
 def expects(data: bytes, at: int) -> bool:
     """Whether the head has come and its client waits for 100 (Continue) before it sends the body."""
+    at = skip_empty(data, at)
     end = data.find(b"\r\n\r\n", at, at + LONGEST_HEAD)
     return end >= 0 and fields(data[at:end]).get(b"expect", b"").lower() == b"100-continue"
--- a/mulleinhall/http/talk.py
+++ b/mulleinhall/http/talk.py
@@ -10,7 +10,7 @@
 from mulleinhall.core.calls import Answer, BadCall, Call
 from mulleinhall.core.terms import Terms
 from mulleinhall.dialects import http_v2
-from mulleinhall.http.frames import expects, fields, head_end, request_end
+from mulleinhall.http.frames import expects, fields, head_end, request_end, skip_empty
 from mulleinhall.interface import Settings
 from mulleinhall.transport.talk import BadFrame
 
@@ -56,6 +56,7 @@
 
     def read(self, frame: bytes) -> Call | bytes:
         self.waits = self.prompted = False
+        frame = frame[skip_empty(frame, 0):]
         message = Message()
         parser = httptools.HttpRequestParser(message)
         try:
--- a/mulleinhall/transport/listener.py
+++ b/mulleinhall/transport/listener.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import Any, Protocol, cast
 
-from mulleinhall.core.calls import Answer, BadCall, Call, Duplicate
+from mulleinhall.core.calls import FAILED, Answer, BadCall, Call, Duplicate
 from mulleinhall.core.clock import Clock
 from mulleinhall.transport.talk import BadFrame, MakeTalk
 
@@ -49,7 +49,13 @@
 
     def answer(self, answer: Answer) -> None:
         """The one final answer; a second is dropped."""
-        self.put(self.client.talk.word(self.call, answer))
+        try:
+            data = self.client.talk.word(self.call, answer)
+        except Exception:
+            # Guards the client against an answer that its dialect can't word: it gets a failed one.
+            self.client.server.fault("an answer")
+            data = self.client.talk.word(self.call, FAILED)
+        self.put(data)
 
     def put(self, data: bytes) -> None:
         if self.data is None:
@@ -110,6 +116,11 @@
             except BadFrame as error:
                 self._broken(str(error))
                 break
+            except Exception:
+                # Guards the loop, and the connection's own end, against a fault in cutting frames.
+                self.server.fault("a frame")
+                self._broken("not understood")
+                break
         if not self.ending and self.transport is not None:
             self.rest = data[at:]
             self.server.held += len(self.rest)
@@ -136,6 +147,16 @@
             self._take(slot)
             slot.put(talk.error(str(error)))
             return
+        except BadFrame:
+            raise
+        except Exception:
+            # Guards the client's answer against a fault of a codec: one malformed request, no more.
+            self.server.fault("a request")
+            self.bad += 1
+            self.ending = self.bad >= MOST_BAD or talk.last
+            self._take(slot)
+            slot.put(talk.error("not understood"))
+            return
         self._take(slot)
         self.ending = talk.last
         if isinstance(call, bytes):
@@ -272,7 +293,7 @@
         self.held, self.most_held = 0, most_held  # bytes that came and are no command yet
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.draining, self.waiting, self.bad, self.short = False, False, 0, 0
+        self.draining, self.waiting, self.bad, self.short, self.faults = False, False, 0, 0, 0
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setblocking(False)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -381,6 +402,12 @@
         if self.bad <= LOGGED or self.bad % 1000 == 0:
             log.warning("malformed command %d: %s", self.bad, why)
 
+    def fault(self, what: str) -> None:
+        """Something was raised that no codec may raise: counted, and logged with where, some of them."""
+        self.faults += 1
+        if self.faults <= LOGGED or self.faults % 1000 == 0:
+            log.exception("codec fault %d on %s", self.faults, what)
+
     def empty(self) -> bool:
         return not self.connections
 
--- a/mulleinhall/transport/pool.py
+++ b/mulleinhall/transport/pool.py
@@ -67,7 +67,9 @@
                     # Guards the memory: large values that come on many connections at once.
                     raise Spoilt("too much is on the way")
                 return
-        except Spoilt as error:
+        except Exception as error:
+            if not isinstance(error, Spoilt):
+                self.pool.fault(error)  # a codec's own: the attempt ends like one with a spoilt answer
             # Guards against serving what no backend made.  The request has run, or may have, and nothing
             # more that comes on this connection can be trusted.
             self.pool.note("backend %s: spoilt answer: %s", attempt.backend, error)
@@ -95,7 +97,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt = self.attempt
-        if attempt is not None and exc is None and (done := self.wire.ended()) is not None:
+        if attempt is not None and exc is None and (done := self._whole_by_end()) is not None:
             done.reusable = False
             self._done(attempt, done)
             return
@@ -108,6 +110,15 @@
             # it may have come and run.
             self.pool.end(attempt, Outcome.RESET)
 
+    def _whole_by_end(self) -> Done | None:
+        """The answer, if the end of the connection makes it whole."""
+        try:
+            return self.wire.ended()
+        except Exception as error:
+            if not isinstance(error, Spoilt):
+                self.pool.fault(error)
+            return Done(Outcome.ERROR)
+
     def current(self) -> bool:
         """Guards against a backend that has moved: what answers at the old address is another."""
         return self.target.listed and self.address == self.target.address
@@ -149,6 +160,7 @@
         self.targets: dict[str, Target] = {}
         self.sockets = 0  # connections open or coming up
         self.noted = 0  # faults of backends
+        self.faults = 0  # of our own codecs
         self.held, self.most_held = 0, most_held  # bytes of answers that are not whole yet
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
@@ -243,6 +255,12 @@
         if self.noted <= LOGGED or self.noted % 100 == 0:
             log.warning("%d: " + text, self.noted, *words)
 
+    def fault(self, error: Exception) -> None:
+        """Something was raised that no codec may raise: counted, and logged with where, some of them."""
+        self.faults += 1
+        if self.faults <= LOGGED or self.faults % 100 == 0:
+            log.error("codec fault %d", self.faults, exc_info=error)
+
     def cancel(self, attempt: Attempt) -> None:
         self._give_up(attempt, Outcome.CANCELLED)
 
@@ -268,8 +286,10 @@
         assert connection.transport is not None
         try:
             data = connection.wire.send(attempt.call, attempt.deadline - self.clock())
-        except ValueError as error:
+        except Exception as error:
             # Guards against a call that this protocol has no words for: no other backend of it has them.
+            if not isinstance(error, ValueError) or isinstance(error, UnicodeError):
+                self.fault(error)
             self.note("backend %s: %s", attempt.backend, error)
             self.release(connection)
             attempt.final = FAILED
