--- a/mulleinhall/lab/__main__.py
+++ b/mulleinhall/lab/__main__.py
@@ -13,6 +13,7 @@
 from importlib.util import find_spec
 from pathlib import Path
 
+from mulleinhall.lab.crowd import EACH, MOST, processes
 from mulleinhall.lab.ingresses import CantStart
 from mulleinhall.lab.report import report, table
 from mulleinhall.lab.scenario import SIZES, BadScenario, Scenario, draw, read_scenario
@@ -39,6 +40,8 @@
     made.add_argument("--scenario", metavar="FILE", help="a TOML file, or a name out of: "
                       + ", ".join(sorted(p.stem for p in SCENARIOS.glob("*.toml"))))
     made.add_argument("--faults", type=int, metavar="N", help="draws N faults from the seed (0)")
+    made.add_argument("--clients", type=int, metavar="N", default=0,
+                      help="processes that clients are in (one for each 500 requests/s)")
     made.add_argument("--run", metavar="COMMAND", help="what starts an ingress (the run line of "
                       "deploy/balancer.toml)")
     made.add_argument("--json", metavar="FILE", help="writes the figures there; - for standard output")
@@ -66,6 +69,12 @@
         except (OSError, UnicodeDecodeError) as error:
             raise BadScenario(f"{where}: {error}") from None
     scenario = read_scenario(text, where, **sizes)
+    if not 0 <= options.clients <= MOST:
+        raise BadScenario(f"command line: clients: {options.clients} is not a number from 0 to {MOST}")
+    if any(">" in f.target and f.target.startswith("clients>") for f in scenario.faults) and (
+            options.clients or processes(scenario.deployment.rate)) > 1:
+        raise BadScenario(f"{where}: faults of clients' links are played with clients in one process only: "
+                          f"--rate {EACH:g} at most, --clients 1 at most")
     if options.faults is not None and not 0 <= options.faults <= 1000:
         raise BadScenario(f"command line: faults: {options.faults} is not a number from 0 to 1000")
     if options.faults:
@@ -115,7 +124,7 @@
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop.set)
-    async with standing(scenario, options.run) as world:
+    async with standing(scenario, options.run, options.clients) as world:
         if options.hold:
             print(addresses(world), flush=True)
             print("It stands until Ctrl-C.", file=sys.stderr)
@@ -157,7 +166,7 @@
             return BAD_USE
     if verdict.breaches or world.crashes:
         return BROKEN
-    return 0 if verdict.judged else TOO_BUSY
+    return 0 if verdict.judged and figures["kept_up"] else TOO_BUSY
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/mulleinhall/lab/customers.py
+++ b/mulleinhall/lab/customers.py
@@ -132,7 +132,7 @@
 class Customers:
     """All clients, and the front that deals their requests out.  What they do is drawn from the seed."""
 
-    def __init__(self, deployment: Deployment, record: Record, clock: Callable[[], float], seed: int,
+    def __init__(self, deployment: Deployment, record: Record, clock: Callable[[], float], seed: int | str,
                  dialects: Mapping[str, float]) -> None:
         """`dialects`: the shares of the customers that speak each; none: all speak today's."""
         self.deployment, self.record, self.clock = deployment, record, clock
@@ -144,6 +144,7 @@
             [customer.dialect] = drawn.choices(list(dialects), list(dialects.values()))
         self.factors = {plan.name: 1.0 for plan in deployment.plans}
         self.count, self.open, self.lines, self.most_lines = 0, 0, 0, 0
+        self.behind = 0.0  # s by which a first try came later than it was drawn to
         self.not_taken = 0  # tries that no ingress took: refused connections
         self.tasks: set[asyncio.Task[None]] = set()
         # First tries: at, customer, plan, class, units
@@ -190,6 +191,7 @@
                 shift = 0.0
                 self.shift(0.1)
             await asyncio.sleep(max(0.0, at - self.loop.time()))
+            self.behind = max(self.behind, self.loop.time() - at)
             customer = self.rng.choices(self.everyone, cum_weights=self.sums)[0]
             [cls] = self.rng.choices(self.deployment.classes, [c.share for c in self.deployment.classes])
             key = f"{self.rng.getrandbits(64):016x}" if cls.semantics == "keyed" else ""
@@ -198,6 +200,10 @@
         while self.open:
             await asyncio.sleep(0.02)
 
+    @property
+    def tries(self) -> int:
+        return len(self.record.tries)
+
     def ask(self, ask: Ask) -> None:
         self.open += 1
         task = self.loop.create_task(self._ask(ask))
--- a/mulleinhall/lab/referee.py
+++ b/mulleinhall/lab/referee.py
@@ -188,22 +188,19 @@
 
 def held_back(record: Record) -> tuple[int, int]:
     """How often a keyed submission may have run in one memory, brought no value, and could have gone to a
-    server of another memory that the list had ready: in one try, and in a client's own repeat.  A run in
+    server of another memory that was in use: in one try, and in a client's own repeat.  A run in
     which this never happens says nothing of repeats across memories."""
     by_id: dict[str, list[Arrival]] = defaultdict(list)
+    spans: dict[str, tuple[float, float]] = {}  # of each memory, from its first arrival to its last
     for arrival in sorted(record.arrivals, key=lambda a: a.at):
         by_id[arrival.id].append(arrival)
-    of = {arrival.server: [a for a in record.arrivals if a.server == arrival.server]
-          for arrival in record.arrivals}
-    spans = {(server, memory): (min(a.at for a in rows if a.memory == memory),
-                                max(a.at for a in rows if a.memory == memory))
-             for server, rows in of.items() for memory in {a.memory for a in rows}}
+        spans[arrival.memory] = spans.get(arrival.memory, (arrival.at, 0.0))[0], arrival.at
     within_try = between = 0
     for arrivals in submissions(record, by_id).values():
         for n, x in enumerate(arrivals):
             if x.value or not x.may_have_run:
                 continue
-            if not any(memory != x.memory and a <= x.at <= b for (_, memory), (a, b) in spans.items()):
+            if not any(memory != x.memory and a <= x.at <= b for memory, (a, b) in spans.items()):
                 continue
             within_try += 1
             between += any(later.id != x.id for later in arrivals[n + 1:])
--- a/mulleinhall/lab/report.py
+++ b/mulleinhall/lab/report.py
@@ -8,6 +8,7 @@
 from mulleinhall.lab.referee import RULES, Verdict, held_back, judge
 from mulleinhall.lab.world import World
 
+BEHIND = 0.5  # s: clients that come this late are no longer those that were drawn
 MOST_SHOWN = 12  # breaches in the table; the JSON holds all
 
 
@@ -33,12 +34,15 @@
         "rss_mb": [round(i.most_rss, 1) for i in world.ingresses],
         "rss_mb_by_quarter": [quarters(i.memory, world.began, scenario.seconds) for i in world.ingresses],
         "files": [i.files for i in world.ingresses],
+        "asked_per_s": round(len(world.customers.asked) / scenario.seconds, 1),
+        "behind_s": round(world.customers.behind, 3),
         "client_connections": world.customers.most_lines, "counter_calls": world.counter.calls,
         "faults": [f"{at:.1f} s: {text.partition(': ')[2]}" for at, text in world.faults_done],
         "held_back": {"in_a_try": held[0], "between_tries": held[1]}, "counts": world.counts,
         "fell_over": [s.name for s in world.servers if s.fell],
         "rules": verdict.counts(), "breaches": [str(b) for b in verdict.breaches],
         "doubtful": [str(b) for b in verdict.doubtful], "judged": verdict.judged,
+        "kept_up": world.customers.behind <= BEHIND,
         "crashes": world.crashes,
     }, verdict
 
@@ -83,6 +87,9 @@
     if len(figures["breaches"]) > MOST_SHOWN:
         rows.append(f"  and {len(figures['breaches']) - MOST_SHOWN} more")
     rows += [f"  {text}" for text in figures["crashes"]]
+    if not figures["kept_up"]:
+        rows.append(f"the lab could not ask as fast as it was told to: {figures['behind_s']:.1f} s behind, "
+                    f"{figures['asked_per_s']:g} first tries a second; a lower --rate, or more --clients")
     if not figures["judged"]:
         rows.append(f"the machine was too busy to judge: {len(figures['doubtful'])} limits were passed by "
                     "less than the machine itself was late; run it again with less beside it")
--- a/mulleinhall/lab/world.py
+++ b/mulleinhall/lab/world.py
@@ -14,6 +14,7 @@
 from typing import Any, Protocol
 
 from mulleinhall.lab.counter import CounterStandIn
+from mulleinhall.lab.crowd import Crowd, processes
 from mulleinhall.lab.customers import AFTER_TERM, NOTICE, OLD, Customers
 from mulleinhall.lab.deployment import zone
 from mulleinhall.lab.grid import GridServer, Keys, Seat
@@ -40,7 +41,9 @@
 class World:
     """One run of a scenario.  `record` holds what was seen; the parts can be looked at while it runs."""
 
-    def __init__(self, scenario: Scenario, folder: Path, command: str | None = None) -> None:
+    def __init__(self, scenario: Scenario, folder: Path, command: str | None = None,
+                 clients: int = 0) -> None:
+        """`clients`: the processes that clients are in; 0: as many as the rate asks for, 1: the lab's own."""
         self.scenario, self.deployment = scenario, scenario.deployment
         d, self.loop = scenario.deployment, asyncio.get_running_loop()
         zero = time.monotonic()
@@ -50,7 +53,10 @@
         self.rng = random.Random(f"world {scenario.seed}")
         self.agents = [Agent(n, self.clock, self._told) for n in range(d.ingresses)]
         self.counter = CounterStandIn(d.counter_rate, d.counter_parts, self.clock)
-        self.customers = Customers(d, self.record, self.clock, scenario.seed, scenario.clients)
+        count = clients or processes(d.rate)
+        self.customers: Customers | Crowd = (
+            Customers(d, self.record, self.clock, scenario.seed, scenario.clients) if count == 1 else
+            Crowd(count, d, self.record, self.clock, zero, scenario.seed, scenario.clients))
         self.keys = {"v1": Keys("v1"), "v2": Keys("v2")}  # old and new servers share no memory
         self.servers = [GridServer(f"server-{n}", zone(n), n // 4, self.rng.uniform(0.85, 1.15), d,
                                    self.keys["v1"], self.record, self.clock, self.pairs, scenario.seed)
@@ -163,12 +169,12 @@
         while not come.done() and self.loop.time() < end:
             if progress is not None:
                 progress(self.loop.time() - zero,
-                         f"{len(self.record.tries)} tries, {self.customers.open} open")
+                         f"{self.customers.tries} tries, {self.customers.open} open")
             await asyncio.wait({come}, timeout=0.5)
         if not come.done():
             come.cancel()
-        else:
-            come.result()
+        elif (error := come.exception()) is not None:
+            self.faults.append(f"{type(error).__name__}: {error}")
         await asyncio.sleep(0.1)  # what is sent after a final answer would come now
 
     async def close(self) -> None:
@@ -343,10 +349,11 @@
 
 
 @asynccontextmanager
-async def standing(scenario: Scenario, command: str | None = None) -> AsyncIterator[World]:
+async def standing(scenario: Scenario, command: str | None = None,
+                   clients: int = 0) -> AsyncIterator[World]:
     """A world that stands, with its ingresses ready; nothing of it is left behind, whatever happens."""
     with tempfile.TemporaryDirectory(prefix="lab-") as folder:
-        world = World(scenario, Path(folder), command)
+        world = World(scenario, Path(folder), command, clients)
         try:
             await world.open()
             yield world
