--- a/tests/test_http_wire.py
+++ b/tests/test_http_wire.py
@@ -10,6 +10,7 @@
 import h11
 import pytest
 
+from benchmarks import fuzz
 from mulleinhall.core.calls import FAILED, Call
 from mulleinhall.http.wire import HttpWire, make_wire
 from mulleinhall.interface import Backend, Outcome
@@ -246,3 +247,11 @@
             assert (await pool.end(2))[0] is Outcome.OK and peer.connections == 1
 
     run(body())
+
+
+@pytest.mark.parametrize("codec", sorted(fuzz.SEEDS))
+def test_drawn_bytes_raise_nothing_but_the_codecs_own_error(codec: str) -> None:
+    """Some seconds' worth of what `python -m benchmarks.fuzz` does at length."""
+    inputs, errors, held = fuzz.fuzz(codec, 60_000, 3)
+    assert inputs > 100 and held < fuzz.KEPT_MOST
+    assert errors > 20 or codec == "json"  # else nothing was harmed
