--- a/mulleinhall/lab/customers.py
+++ b/mulleinhall/lab/customers.py
@@ -225,7 +225,7 @@
         name = f"{self.count:08x}{self.rng.getrandbits(32):08x}"
         patience = int(patience * 1000) / 1000
         tried = Try(name, c.id, c.plan.name, ask.cls.name, ask.key, 1.0, ingress, 0.0, patience,
-                    ask=ask.number)
+                    ask=ask.number, dialect=c.dialect)
         await self._send(tried, ask)
 
     async def _send(self, tried: Try, ask: Ask, fresh: bool = False) -> None:
@@ -259,7 +259,7 @@
         """The connection ended with no whole answer.  A crossing on a used one is sent once more."""
         if not tried.first and tried.ended - tried.sent < 0.05 and not tried.cut:
             again = Try(tried.id, tried.customer, tried.plan, tried.request_class, tried.key, tried.units,
-                        tried.ingress, 0.0, tried.patience, ask=tried.ask)
+                        tried.ingress, 0.0, tried.patience, ask=tried.ask, dialect=tried.dialect)
             task = self.loop.create_task(self._send(again, ask, fresh=True))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/mulleinhall/lab/grid.py
+++ b/mulleinhall/lab/grid.py
@@ -209,6 +209,7 @@
     def arrived(self, seat: Seat, arrival: Arrival) -> None:
         """A request has come whole, by whatever protocol."""
         now = arrival.at
+        arrival.dialect = self.dialect
         if self.fault == "reset":
             seat.abort()
         self.record.arrivals.append(arrival)
--- a/mulleinhall/lab/measure.py
+++ b/mulleinhall/lab/measure.py
@@ -71,6 +71,16 @@
     return figures
 
 
+def pairs(record: Record) -> dict[str, int]:
+    """How many tries each server dialect served for each client dialect, as "client>server"."""
+    speaks = {(x.id, x.value): x.dialect for x in record.arrivals if x.value}
+    found: dict[str, int] = defaultdict(int)
+    for tried in record.tries:
+        if tried.kind == "served" and (tried.id, tried.value) in speaks:
+            found[f"{tried.dialect}>{speaks[tried.id, tried.value]}"] += 1
+    return dict(sorted(found.items()))
+
+
 def _service(figures: Figures, asked: Sequence[Asked], earned: dict[int, float], cost: dict[str, float],
              deployment: Deployment) -> None:
     stores: dict[str, tuple[float, float]] = {}
--- a/mulleinhall/lab/record.py
+++ b/mulleinhall/lab/record.py
@@ -30,6 +30,7 @@
     value: bytes = b""
     ended: float = inf  # when its connection ended with no whole answer
     cut: bool = False  # the lab ended or cut that connection, not the ingress
+    dialect: str = ""  # that its client speaks
     extra: int = 0  # bytes that came behind the answer, when nothing was owed
 
 
@@ -52,6 +53,7 @@
     may_have_run: bool = True  # False once it was turned away
     effect: bool = False  # it ran, and no memory of its key dropped it
     value: bytes = b""
+    dialect: str = ""  # that the server speaks
     memory: str = ""  # the memory of keys that the server shares with others
 
 
--- a/mulleinhall/retries/holds.py
+++ b/mulleinhall/retries/holds.py
@@ -45,7 +45,7 @@
             self.counts["held-seen"] += 1
             return Hold(cell)
         homes = self.homes
-        if not homes.mixed():
+        if not homes.mixed(now - self.window):
             return FREE
         where = point("/".join(submission))
         home, there = homes.home(where, now, False), homes.home(where, now, True)
--- a/mulleinhall/retries/homes.py
+++ b/mulleinhall/retries/homes.py
@@ -97,9 +97,9 @@
                 self.emptied[cell] = now
         self.ready = ready
 
-    def mixed(self) -> bool:
-        """Whether servers of more than one memory take requests, or did lately."""
-        return sum(map(bool, self.ready.values())) + len(self.emptied) > 1
+    def mixed(self, since: float) -> bool:
+        """Whether servers of more than one memory take requests, or did at that time or later."""
+        return sum(map(bool, self.ready.values())) + sum(at > since for at in self.emptied.values()) > 1
 
     def home(self, where: int, at: float, ready: bool) -> int:
         """The cell of what lies at that point, as it counted then; 0 if there is none.  `ready`: of those
--- a/tests/test_lab_crowd.py
+++ b/tests/test_lab_crowd.py
@@ -26,6 +26,8 @@
     # Each process asks for a share; the kinds add up to the tries, and all tries have answers.
     assert 90 < figures["asked_per_s"] < 220 and figures["unanswered"] == 0
     assert figures["served"] + figures["refused"] + figures["failed"] == figures["tries"] > 250
+    # What an ingress says of itself when it is asked by SIGUSR1 agrees with what its clients saw.
+    assert sum(counts["requests"] for counts in figures["counts"]) == figures["tries"]
     assert figures["client_connections"] >= 3 and figures["kept_up"]
 
 
@@ -60,5 +62,7 @@
 def test_a_missing_library_is_named_before_anything_starts(
         monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
     monkeypatch.setattr(command, "find_spec", lambda name: None)
+    assert command.main(["--plot", "x.png"]) == command.BAD_USE
+    assert "--plot needs matplotlib: pip install '.[plot]'" in capsys.readouterr().err
     assert command.main(["--scenario", "migrate"]) == command.BAD_USE
     assert "needs h11 and httptools: pip install -r requirements-lab.txt" in capsys.readouterr().err
--- a/tests/test_lab_scenarios.py
+++ b/tests/test_lab_scenarios.py
@@ -89,6 +89,8 @@
     assert 0.3 < figures["service"] <= 1.0 and 0 < figures["p50_ms"] < figures["p99_ms"]
     faults = read_scenario((command.SCENARIOS / f"{name}.toml").read_text(encoding="utf-8"), name).faults
     assert len(figures["faults"]) == len(faults)
+    if name == "matrix":
+        assert len(figures["pairs"]) == 9 and min(figures["pairs"].values()) > 5, figures["pairs"]
     if name in ("trouble", "matrix"):
         # A run in which nothing had to be held back, or no client tried again, proves nothing.
         assert figures["held_back"]["in_a_try"] > 5
