An ingress that starts late lets repeats of an empty memory wait for one window, not ten minutes

Cause: a fresh ingress that knew a memory by a draining server alone never noted when it became empty, so marked repeats of its submissions would have been refused for as long as the server's place is kept (600 s).

Change: a memory without a server that takes requests counts as empty from when that is first seen.

--- a/mulleinhall/retries/homes.py
+++ b/mulleinhall/retries/homes.py
@@ -89,12 +89,12 @@
         for place in self.places.values():
             for cell, takes in place.ready.items():
                 ready[cell] = ready.get(cell, 0) + takes
-        for cell, count in ready.items():
-            if count:
+        for cell in self.ready | ready:
+            if ready.get(cell):
                 self.emptied.pop(cell, None)
-        for cell in self.ready:
-            if self.ready[cell] and not ready.get(cell):
-                self.emptied[cell] = now
+            else:
+                # Also for one that was never seen to take requests: others may have seen it do so.
+                self.emptied.setdefault(cell, now)
         self.ready = ready
 
     def mixed(self, since: float) -> bool:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -69,6 +69,17 @@
     assert holds.counts["unsure"] == 1 and holds.counts["moved-home"] == 1
 
 
+def test_an_ingress_that_starts_late_lets_repeats_wait_for_one_window_and_no_longer() -> None:
+    holds = Holds(WINDOW, SETTLE)
+    holds.listed([server(0, OLD, state=Readiness.DRAINING), *fleet(1, 3)[1:]], True, 100.0)
+    key = next(n for n in range(99) if holds.homes.home(point("/".join(
+        (call(n).customer, "order", call(n).key))), 100.0, False) == OLD)
+    assert holds.admit(call(key, True), 101.0).wait == pytest.approx(3.0)
+    holds.listed([server(0, OLD, state=Readiness.GONE)], False, 102.0)
+    assert holds.admit(call(key, True), 103.9).wait > 0
+    assert holds.admit(call(key, True), 104.1) == Hold()
+
+
 def test_a_marked_repeat_whose_home_has_just_changed_waits() -> None:
     holds = Holds(WINDOW, SETTLE)
     holds.listed(fleet(4, 0), True, 0.0)
