--- a/mulleinhall/lab/ingresses.py
+++ b/mulleinhall/lab/ingresses.py
@@ -169,9 +169,11 @@
         self.waited = waited
 
     async def told(self) -> dict[str, Any]:
-        """What the process says of itself when it is asked by a signal; nothing if it does not."""
-        if self.process is None or self.process.returncode is not None:
+        """What the process says of itself when it is asked by a signal at the run's end; nothing if it does
+        not.  An older one knows no such signal, and ends by it: that is no crash."""
+        if self.process is None or self.process.returncode is not None or self.life is None:
             return {}
+        self.life.how = self.life.how or "closed"
         self.signal(signal.SIGUSR1)
         for _ in range(int(TOLD / 0.02)):
             with contextlib.suppress(OSError, ValueError):
