A marked repeat never waits longer than a window, whatever the clock rounds to

The wait is cut at the window; ten moments that round up stand in a test of their own (all ten failed before). Found by the stateful test of holds, whose stored example passes now.

--- a/mulleinhall/retries/holds.py
+++ b/mulleinhall/retries/holds.py
@@ -59,7 +59,7 @@
         """How long it stays unknown where an earlier try of a marked repeat may have run: its home changed
         within the window, or takes no requests any more."""
         if home != there:
-            return max(0.0, self.homes.emptied.get(home, now) + self.window - now)
+            return min(self.window, max(0.0, self.homes.emptied.get(home, now) + self.window - now))
         return self.window / 2 if self.homes.home(where, now - self.window, False) != home else 0.0
 
     def sent(self, attempt: Attempt, now: float) -> None:
