A drain's end before SIGKILL is tested on a clock of its own, not on the machine's

drain() takes its clock and its sleep; the test plays it with a client that never goes and a loop that wakes 20 ms late, for four deadlines. The test with a real process keeps what it is for: the answer and the exit status.

--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -76,7 +76,7 @@
         self._watch()
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
-        await drain(self.exchange, self.listeners, self.config.settings.classes)
+        await drain(self.exchange, self.listeners, self.config.settings.classes, self.loop.time)
         log.info("%s ends", self.config.name)
         if (watch := self.watch) is not None:
             watch.cancel()
--- a/mulleinhall/platform/drain.py
+++ b/mulleinhall/platform/drain.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from typing import Protocol
 
-from mulleinhall.core.exchange import Exchange
 from mulleinhall.core.ports import Listener
 from mulleinhall.interface import RequestClass
 
@@ -16,19 +16,28 @@
 FLUSH = 0.1  # s for the last answers to go out
 
 
-async def drain(exchange: Exchange, listeners: Sequence[Listener], classes: Iterable[RequestClass]) -> None:
-    """Lets the clients of all `listeners` go; what is open at the last moment fails."""
-    clock = asyncio.get_running_loop().time
+class Loses(Protocol):
+    """The part of the exchange that a drain needs."""
+
+    def give_up(self) -> None:
+        """Fails whatever is open."""
+
+
+async def drain(exchange: Loses, listeners: Sequence[Listener], classes: Iterable[RequestClass],
+                clock: Callable[[], float],
+                sleep: Callable[[float], Awaitable[object]] = asyncio.sleep) -> None:
+    """Lets the clients of all `listeners` go; what is open at the last moment fails.  `clock` and `sleep` go
+    by the same seconds."""
     longest = min(max(c.deadline for c in classes), MOST_DEADLINE)
     last = clock() + longest + KILL_AFTER - LAST_WORD
-    await asyncio.sleep(GOES_ON)
+    await sleep(GOES_ON)
     for listener in listeners:
         listener.drain()
     while not all(listener.empty() for listener in listeners) and clock() < last:
-        await asyncio.sleep(0.02)
+        await sleep(0.02)
     exchange.give_up()
     for listener in listeners:
         listener.close()
     last = clock() + FLUSH
     while not all(listener.empty() for listener in listeners) and clock() < last:
-        await asyncio.sleep(0.01)
+        await sleep(0.01)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from mulleinhall.interface import RequestClass
 from mulleinhall.platform import drain
 from tests.peers import (
     SETTINGS,
@@ -83,8 +84,8 @@
             slow, idle = await Caller.to(address), await Caller.to(address)
             slow.writer.write(command("slow"))
             assert await idle.ask(command("before")) == b"before"
-            process.send_signal(signal.SIGTERM)
             at = time.monotonic()
+            process.send_signal(signal.SIGTERM)
             # New connections and those that stand are served on for a while.
             fresh = await Caller.to(address)
             assert await fresh.ask(command("fresh")) == b"fresh"
@@ -111,14 +112,52 @@
             caller = await Caller.to(address)
             caller.writer.write(command(d=60_000))
             process.send_signal(signal.SIGTERM)
-            at = time.monotonic()
             assert str(await caller.answer()) == "ERR failed"
             assert await process.wait() == 0
-            assert time.monotonic() - at < drain.MOST_DEADLINE + drain.KILL_AFTER
 
     run(body())
 
 
+class Stubborn:
+    """An exchange and a listener whose last client never goes, on a clock that only sleeping moves."""
+
+    def __init__(self, late: float) -> None:
+        self.now, self.late = 0.0, late
+        self.told: list[tuple[str, float]] = []
+
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds + self.late
+
+    def note(self, what: str) -> None:
+        self.told.append((what, self.now))
+
+    def open(self) -> None: ...
+
+    def drain(self) -> None:
+        self.note("drain")
+
+    def empty(self) -> bool:
+        return False
+
+    def give_up(self) -> None:
+        self.note("give up")
+
+    def close(self) -> None:
+        self.note("close")
+
+
+@pytest.mark.parametrize("deadline", [0.2, 1.0, 3.0, 60.0])
+def test_a_drain_ends_before_the_earliest_sigkill(deadline: float) -> None:
+    """On a clock of its own, with a loop that wakes 20 ms late each time: no machine is too busy for it."""
+    patient = RequestClass("read", aim=deadline, deadline=deadline)
+    held = Stubborn(late=0.02)
+    asyncio.run(drain.drain(held, [held], [patient], lambda: held.now, held.sleep))
+    kill = min(deadline, drain.MOST_DEADLINE) + drain.KILL_AFTER
+    assert [what for what, _ in held.told] == ["drain", "give up", "close"]
+    assert held.told[0][1] >= drain.GOES_ON
+    assert kill - drain.LAST_WORD <= held.told[1][1] <= kill - drain.LAST_WORD + 0.05 and held.now < kill
+
+
 def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
     async def body() -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
