--- /dev/null
+++ b/mulleinhall/service.py
@@ -0,0 +1,89 @@
+"""One real ingress as a process: its configuration, its signals, its exit status."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from mulleinhall.compiled import Form
+from mulleinhall.ingress import Ingress
+from mulleinhall.platform.config import BadConfig, Config, read_config
+
+if TYPE_CHECKING:
+    from mulleinhall.platform.operator import Operator
+
+HANDLED = {signal.SIGHUP, signal.SIGUSR1}
+log = logging.getLogger("mulleinhall")
+
+
+def load() -> Config:
+    """The configuration as the file holds it now; BadConfig names what is wrong with it."""
+    path = os.environ.get("EDGE_CONFIG", "")
+    if not path:
+        raise BadConfig("EDGE_CONFIG: not set")
+    try:
+        return read_config(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadConfig(f"EDGE_CONFIG: {error}") from None
+
+
+def load_operator(arguments: list[str]) -> Operator | None:
+    """What the operator's file adds, if the command line names one.  Raises BadConfig."""
+    if not arguments:
+        return None
+    if len(arguments) != 2 or arguments[0] != "--operator":
+        raise BadConfig("usage: python -m mulleinhall [--version | --operator FILE]")
+    from mulleinhall.platform.operator import read_operator
+    from mulleinhall.translating import CLIENT_DIALECTS, SERVER_DIALECTS
+
+    return read_operator(Path(arguments[1]), SERVER_DIALECTS, CLIENT_DIALECTS)
+
+
+async def serve(config: Config, operator: Operator | None) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    ingress = Ingress(config, operator=operator)
+
+    def reload() -> None:
+        """Guards the process against a file that is broken or half written: the old values are kept."""
+        try:
+            ingress.reload(load())
+        except BadConfig as error:
+            log.error("configuration not taken: %s", error)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counts %s", json.dumps(ingress.counts())))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
+    await ingress.run(stop)
+
+
+def main(arguments: list[str], form: Form) -> int:
+    """Serves until SIGTERM.  0: it ended as asked; 1: it can't listen; 2: bad configuration."""
+    # Guards against a signal that comes before its handler stands: it waits, so no change is missed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config, operator = load(), load_operator(arguments)
+    except BadConfig as error:
+        print(f"mulleinhall: {error}", file=sys.stderr)
+        return 2
+    log.info("%s", form)
+    try:
+        uvloop.run(serve(config, operator))
+    except BadConfig as error:
+        print(f"mulleinhall: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"mulleinhall: listen: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -11,7 +11,8 @@
 from uuid import UUID, uuid4
 
 import mulleinhall.interface as api
-from mulleinhall import __main__ as program
+from mulleinhall import service
+from mulleinhall.compiled import Form
 from mulleinhall.core.calls import Answer, Call, Kind
 from mulleinhall.core.exchange import Exchange, Open
 from mulleinhall.core.ports import Attempt, Hold
@@ -197,4 +198,4 @@
     fault, sys.argv = sys.argv[1], [sys.argv[0], *sys.argv[2:]]
     for owner, name, replacement in FAULTS[fault]:
         setattr(owner, name, replacement)
-    sys.exit(program.main())
+    sys.exit(service.main(sys.argv[1:], Form(False, "a fault is put in place of a method")))
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -92,7 +92,7 @@
 
 
 def test_without_the_file_nothing_of_it_is_imported() -> None:
-    code = ("import sys, mulleinhall.__main__; "
+    code = ("import sys, mulleinhall.__main__, mulleinhall.service; "
             "print([m for m in sys.modules if m.startswith(('mulleinhall.dialects', 'mulleinhall.http', "
             "'mulleinhall.translating', 'mulleinhall.platform.operator', 'mulleinhall.lab', 'httptools', "
             "'tomllib', 'argparse'))])")
