--- a/mulleinhall/core/exchange.py
+++ b/mulleinhall/core/exchange.py
@@ -5,7 +5,7 @@
 import logging
 from collections import deque
 from collections.abc import Mapping
-from typing import Protocol
+from typing import Final, Protocol
 
 import mulleinhall.interface as api
 from mulleinhall.core.calls import FAILED, REFUSED, Answer, Call, Duplicate, Kind
@@ -14,9 +14,9 @@
 
 log = logging.getLogger(__name__)
 
-MARGIN = 0.020  # s before the client's time is up: when the module's time is up
-LAST_MARGIN = 0.005  # s before the client's time is up: when a final answer is forced
-BASE_COST = 2048  # bytes that an open request takes beside its call
+MARGIN: Final = 0.020  # s before the client's time is up: when the module's time is up
+LAST_MARGIN: Final = 0.005  # s before the client's time is up: when a final answer is forced
+BASE_COST: Final = 2048  # bytes that an open request takes beside its call
 
 
 class Decider(Protocol):
@@ -162,11 +162,12 @@
 
     def feed(self, event: api.Event) -> None:
         """Hands an event to the module; one that comes up meanwhile waits for its turn."""
-        self.events.append(event)
         if self.running:
+            self.events.append(event)
             return
         self.running = True
         try:
+            self._handle(event)
             while self.events:
                 self._handle(self.events.popleft())
         finally:
--- a/mulleinhall/core/wheel.py
+++ b/mulleinhall/core/wheel.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from math import ceil
-from typing import Any
+from typing import Any, Final
 
 from mulleinhall.core.ports import Handle, Timers
 
 log = logging.getLogger(__name__)
 
-GRAIN = 0.001  # s: timers are due at whole multiples of it, and never early
+GRAIN: Final = 0.001  # s: timers are due at whole multiples of it, and never early
 
 
 class Due:
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -12,36 +12,40 @@
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from math import exp, log
+from typing import Final
 from zlib import crc32
 
 import mulleinhall.interface as api
 
-EPOCH = 30.0  # s: a counter name serves this long; half of the longest life a name may have
-LOW = 0.5  # of the slice: below this a gateway tells others of its use
-FRESH = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
-PEER_PERIOD = 0.25  # s between two messages to peers; short beside any burst, long beside any request
-EXACT = 0.1  # bursts that a count may pass its ends by before it is put right; more where it is crowded
-ASK_LESS = 0.3  # of the questions: fewer after one that failed; a quick answer brings an eighth of it back
-LEAST_ASKED = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
-QUICK = 0.25  # of the time-out: a counter that answers sooner can take more
-IDLE = 60.0  # s: a customer unseen this long is dropped if its buckets are full
-SMOOTH = 0.15  # weight of a new sample in a running mean: about the last dozen count
-BUSY = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
-START_LIMIT = 1.0  # attempts a backend gets from here before its first answer; it grows with good ones
-CUT = 0.85  # a backend's limit shrinks to this share when it is busy
-SPARE = 0.55  # of what the backends may hold: past it the least worth goes first
-CALM, JAM = 0.2, 0.45  # of the aim: attempts out this long on the mean begin, and end, to be shed
-RECENT = 3.0  # s over which the mean time out is taken: some answers at one gateway of hundreds
-SUBSET = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
-RETRY_SHARE = 0.15  # further attempts for each first one, on the mean
-COLD_MARGIN = 0.7  # of what a cold backend bears, all gateways together
-STALL = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
-LOST, PATIENT = 8.0, 0.7  # mean answer times, and of the aim: an attempt out longer than both may be lost
-FAILURE_ROW = 3  # errors or time-outs in a row that eject a backend
-RANKED = 256  # recent requests that a new one's worth is held against
-MIN_ELIGIBLE = 0.5  # of the backends: ejection never leaves fewer
-CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
-TICK, DISCOVERY = 0, 1  # timer tokens
+EPOCH: Final = 30.0  # s: a counter name serves this long; half of the longest life a name may have
+LOW: Final = 0.5  # of the slice: below this a gateway tells others of its use
+FRESH: Final = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
+PEER_PERIOD: Final = 0.25  # s between two messages to peers; short beside any burst, long beside any request
+EXACT: Final = 0.1  # bursts that a count may pass its ends by before it is put right; more in a crowd
+ASK_LESS: Final = 0.3  # of the questions: fewer after one that failed; a quick answer brings back 1/8 of it
+LEAST_ASKED: Final = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
+QUICK: Final = 0.25  # of the time-out: a counter that answers sooner can take more
+IDLE: Final = 60.0  # s: a customer unseen this long is dropped if its buckets are full
+SMOOTH: Final = 0.15  # weight of a new sample in a running mean: about the last dozen count
+BUSY: Final = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
+START_LIMIT: Final = 1.0  # attempts a backend gets from here before its first answer; it grows with good ones
+CUT: Final = 0.85  # a backend's limit shrinks to this share when it is busy
+SPARE: Final = 0.55  # of what the backends may hold: past it the least worth goes first
+CALM: Final = 0.2  # of the aim: attempts out this long on the mean begin, and end, to be shed
+JAM: Final = 0.45
+RECENT: Final = 3.0  # s over which the mean time out is taken: some answers at one gateway of hundreds
+SUBSET: Final = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
+RETRY_SHARE: Final = 0.15  # further attempts for each first one, on the mean
+COLD_MARGIN: Final = 0.7  # of what a cold backend bears, all gateways together
+STALL: Final = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
+LOST: Final = 8.0  # mean answer times, and of the aim: an attempt out longer than both may be lost
+PATIENT: Final = 0.7
+FAILURE_ROW: Final = 3  # errors or time-outs in a row that eject a backend
+RANKED: Final = 256  # recent requests that a new one's worth is held against
+MIN_ELIGIBLE: Final = 0.5  # of the backends: ejection never leaves fewer
+CROSS_ZONE: Final = 1.1  # a backend of another zone counts as this much busier: a tie-break
+TICK: Final = 0  # timer tokens
+DISCOVERY: Final = 1
 
 
 class Bucket:
@@ -214,6 +218,7 @@
                  totals: Totals | None = None) -> None:
         self.info, self.present, self.totals = info, False, totals or Totals()
         self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
+        self.oldest = 0.0  # when the first of them was sent
         self.fresh_start(now, level)
 
     def fresh_start(self, now: float, level: float) -> None:
@@ -256,7 +261,7 @@
 
     def silent(self, now: float) -> float:
         """How long it has held work and answered nothing: one lost beside others answered is no jam."""
-        return now - max(self.heard_at, next(iter(self.out.values()))) if self.out else 0.0
+        return now - max(self.heard_at, self.oldest) if self.out else 0.0
 
     def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
         """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused and broken
@@ -339,6 +344,8 @@
 
     def holds(self, server: Server, key: tuple[str, int], now: float, until: float, weight: float) -> None:
         """An attempt is out from now on; it counts in the waiting until then."""
+        if not server.out:
+            server.oldest = now
         server.out[key] = now
         if server.present:
             self.totals.out += 1
@@ -348,8 +355,9 @@
     def frees(self, server: Server, key: tuple[str, int], now: float) -> float:
         """An attempt is not out any more; when it was sent."""
         sent = server.out.pop(key, None)
-        if sent is not None and server.present:
-            self.totals.out -= 1
+        if sent is not None:
+            self.totals.out -= server.present
+            server.oldest = next(iter(server.out.values())) if server.out else 0.0
         self.wait(now)
         if held := self.held.pop(key, None):
             self.weights[held[1]] -= 1
@@ -399,6 +407,8 @@
         """The mean time attempts stay out, in aims, by Little's law: the mean number out over the rate of
         sends.  Tells of a jam before any answer comes, and from few attempts; forgets when nothing is sent.
         An attempt counts no longer than JAM: a few backends that never answer are no jam."""
+        if now == self.wait_at:
+            return self.area / self.sends  # no time has passed: nothing changes
         while self.held:
             first = next(iter(self.held))
             until, weight = self.held[first]
@@ -435,7 +445,9 @@
 
     def best(self, job: Job, now: float, servers: list[Server]) -> Server | None:
         tried = {server.info.id for server, _ in job.tries}
-        usable = [s for s in servers if job.may_send(s, now, self.settings)]
+        usable = servers
+        if job.tries or job.cell:  # nothing stands against a first attempt
+            usable = [s for s in servers if job.may_send(s, now, self.settings)]
         slow = max(self.means.values(), default=self.patience)
         healthy = [s for s in usable if not s.stalled(now, slow) and not s.ejected(now)]
         if len(healthy) < MIN_ELIGIBLE * len(usable):
--- a/mulleinhall/platform/counter.py
+++ b/mulleinhall/platform/counter.py
@@ -7,21 +7,21 @@
 import re
 from collections import deque
 from collections.abc import Callable
-from typing import cast
+from typing import Final, cast
 
 from mulleinhall.core.clock import Clock
 from mulleinhall.interface import CounterReply, Outcome
 
 log = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT = 0.25  # s
+CONNECT_TIMEOUT: Final = 0.25  # s
 TOTAL = re.compile(rb"ok (-?[0-9]{1,18}(?:\.[0-9]{1,18})?(?:[eE][-+]?[0-9]{1,2})?)")
-IDLE = 8.0  # s: the counter closes a connection that is idle for about 10
-MOST_LINKS = 8  # of the 32 connections that the counter holds of one ingress
-SILENT = 6  # time-outs: a connection that owes an answer for this long is replaced
-MOST_WAITING = 2000  # calls that wait for an answer or a connection; more are turned away
-LONGEST_LINE = 256  # bytes of an answer
-LOGGED = 20  # faults that are logged one by one; of later ones, every hundredth
+IDLE: Final = 8.0  # s: the counter closes a connection that is idle for about 10
+MOST_LINKS: Final = 8  # of the 32 connections that the counter holds of one ingress
+SILENT: Final = 6  # time-outs: a connection that owes an answer for this long is replaced
+MOST_WAITING: Final = 2000  # calls that wait for an answer or a connection; more are turned away
+LONGEST_LINE: Final = 256  # bytes of an answer
+LOGGED: Final = 20  # faults that are logged one by one; of later ones, every hundredth
 
 
 class Call:
--- a/mulleinhall/resp/back.py
+++ b/mulleinhall/resp/back.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from math import inf
+from typing import Final
 
 from mulleinhall.core.calls import Call
 from mulleinhall.interface import NOTHING, Outcome
@@ -13,9 +14,9 @@
 from mulleinhall.transport.wire import Done, Spoilt
 from mulleinhall.wire import LOADS
 
-LARGEST = 1024 * 1024  # bytes of a value: some hold far more than the 64 KiB that commands may
+LARGEST: Final = 1024 * 1024  # bytes of a value: some hold far more than the 64 KiB that commands may
 LONGEST_ANSWER = LARGEST + 8 * 1024  # bytes of a value, figures and a report
-LONGEST_LINE = 1024  # bytes of an error line
+LONGEST_LINE: Final = 1024  # bytes of an error line
 KNOWN_LOADS = frozenset(LOADS.values())
 
 
--- a/mulleinhall/resp/commands.py
+++ b/mulleinhall/resp/commands.py
@@ -4,12 +4,13 @@
 
 import re
 from dataclasses import dataclass
+from typing import Final
 
 from mulleinhall.core.calls import BadCall, Call
 from mulleinhall.core.terms import Terms
 from mulleinhall.interface import Settings
 
-LARGEST = 64 * 1024  # bytes of a value
+LARGEST: Final = 64 * 1024  # bytes of a value
 CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 16 hex digits, a number below 2^33
 KEY = re.compile(r"[0-9a-fA-F]{16}")
 WORD = re.compile(rb"[!-~]{1,128}")
--- a/mulleinhall/resp/frames.py
+++ b/mulleinhall/resp/frames.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from mulleinhall.transport.talk import BadFrame
 
-LONGEST_HEADER = 16  # bytes of a line that holds a count or a length
-ARRAY, STRING = ord("*"), ord("$")
+LONGEST_HEADER: Final = 16  # bytes of a line that holds a count or a length
+ARRAY: Final = ord("*")
+STRING: Final = ord("$")
 
 
 def _part(data: bytes, at: int, mark: int) -> None:
--- a/mulleinhall/resp/front.py
+++ b/mulleinhall/resp/front.py
@@ -5,16 +5,19 @@
 from collections.abc import Callable
 from functools import partial
 from math import ceil
-from typing import cast
+from typing import Final, cast
 
 from mulleinhall.core.calls import Answer, BadCall, Call, Kind
 from mulleinhall.interface import Settings
 from mulleinhall.resp.commands import LARGEST, CommandReader, bulk
 from mulleinhall.resp.frames import array_end
 
-LONGEST_COMMAND = 256 * 1024  # bytes of a command
-MOST_WORDS = 8  # of a command; no known one has more than 5
-OK, PONG, BUSY, ERR_FAILED = b"+OK\r\n", b"+PONG\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
+LONGEST_COMMAND: Final = 256 * 1024  # bytes of a command
+MOST_WORDS: Final = 8  # of a command; no known one has more than 5
+OK: Final = b"+OK\r\n"
+PONG: Final = b"+PONG\r\n"
+BUSY: Final = b"-BUSY\r\n"
+ERR_FAILED: Final = b"-ERR failed\r\n"
 
 
 class RespTalk:
--- a/mulleinhall/transport/listener.py
+++ b/mulleinhall/transport/listener.py
@@ -7,7 +7,7 @@
 import logging
 import socket
 from collections import deque
-from typing import Any, Protocol, cast
+from typing import Any, Final, Protocol, cast
 
 from mulleinhall.core.calls import FAILED, Answer, BadCall, Call, Duplicate
 from mulleinhall.core.clock import Clock
@@ -15,18 +15,18 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 64  # commands of a connection that wait for an answer; more are not read
-MOST_BAD = 8  # malformed commands in a row after which the connection ends
-BACKLOG = 512
-AT_ONCE = 16  # connections accepted in one turn of the loop, and places kept free for them
-SWEEP = 0.25  # s between looks at all connections
-PATIENCE = 2.0  # s for a first command, for the rest of one that has begun, and for reading answers
-SILENT = 0.1  # s after which a connection that has not asked yet may go before a new one
-IDLE = 5.0  # s after which a connection without an open request is closed
-LINGER = 1.0  # s for a client to read its last error, while what it sends is thrown away
-MOST_THROWN = 1024 * 1024  # bytes thrown away on a connection; then it is not read any more
-LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
-LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
+MOST_PIPELINED: Final = 64  # commands of a connection that wait for an answer; more are not read
+MOST_BAD: Final = 8  # malformed commands in a row after which the connection ends
+BACKLOG: Final = 512
+AT_ONCE: Final = 16  # connections accepted in one turn of the loop, and places kept free for them
+SWEEP: Final = 0.25  # s between looks at all connections
+PATIENCE: Final = 2.0  # s for a first command, for the rest of one that has begun, and for reading answers
+SILENT: Final = 0.1  # s after which a connection that has not asked yet may go before a new one
+IDLE: Final = 5.0  # s after which a connection without an open request is closed
+LINGER: Final = 1.0  # s for a client to read its last error, while what it sends is thrown away
+MOST_THROWN: Final = 1024 * 1024  # bytes thrown away on a connection; then it is not read any more
+LAST_CHANCE: Final = 0.2  # s for the first request on a connection that comes up while the listener closes
+LOGGED: Final = 50  # malformed commands that are logged one by one; of later ones, every thousandth
 
 
 class Handler(Protocol):
@@ -67,8 +67,8 @@
     """One connection of a client: an `asyncio.Protocol` in all but its ancestors, which a compiled class
     can't have."""
 
-    __slots__ = ("arrived", "bad", "choked_at", "ending", "full", "reading", "rest", "server", "since",
-                 "slots", "talk", "thrown", "transport", "used")
+    __slots__ = ("arrived", "bad", "choked_at", "ending", "full", "paused", "reading", "rest", "server",
+                 "since", "slots", "talk", "thrown", "transport", "used")
 
     def __init__(self, server: Clients) -> None:
         self.server = server
@@ -80,6 +80,7 @@
         self.since: float | None = None  # when the command began that has come in part only
         self.choked_at: float | None = None  # since when the client has not read its answers
         self.bad, self.thrown, self.full, self.ending = 0, 0, False, False
+        self.paused = False  # nothing is read from it for now
         self.reading = False  # what came is being read: answers wait for each other, to be one write
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -252,10 +253,13 @@
         """Back-pressure: a client that does not read its answers, or sends far ahead, is not read."""
         if self.transport is None or self.transport.is_closing() or self.ending:
             return
-        if self.full or self.choked_at is not None:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+        pause = self.full or self.choked_at is not None
+        if pause is not self.paused:
+            self.paused = pause
+            if pause:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
 
     def pause_writing(self) -> None:
         self.choked_at = self.server.clock()
--- a/mulleinhall/transport/pool.py
+++ b/mulleinhall/transport/pool.py
@@ -6,9 +6,10 @@
 import contextlib
 import errno
 import logging
+import select
 import socket
 from collections.abc import Mapping
-from typing import cast
+from typing import Final, cast
 
 from mulleinhall.core.calls import FAILED
 from mulleinhall.core.clock import Clock
@@ -18,13 +19,13 @@
 
 log = logging.getLogger(__name__)
 
-IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
-LEAST_IDLE = 0.1  # s that a connection may rest whatever broke: most are used again sooner
-GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
-SETTLED = 0.003  # s after an answer before its connection is used again; sooner than another would be up
-LOGGED = 50  # spoilt answers that are logged one by one; of later ones, every hundredth
-LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
-SWEEP = 1.0  # s between looks for idle connections
+IDLE_SHARE: Final = 0.6  # of the time after which a backend closes an idle connection: ours goes before
+LEAST_IDLE: Final = 0.1  # s that a connection may rest whatever broke: most are used again sooner
+GRACE_SHARE: Final = 0.8  # of the grace of a drain: nothing is first written after that
+SETTLED: Final = 0.003  # s from an answer until its connection is used again; sooner than another is up
+LOGGED: Final = 50  # spoilt answers that are logged one by one; of later ones, every hundredth
+LOCAL_ERRORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+SWEEP: Final = 1.0  # s between looks for idle connections
 
 
 class Target:
@@ -43,13 +44,15 @@
     """One connection to a backend: an `asyncio.Protocol` in all but its ancestors, which a compiled class
     can't have.  It carries one request at a time: to give one up is to close it."""
 
-    __slots__ = ("address", "attempt", "held", "idle_since", "open", "pool", "rested", "sock", "target",
-                 "transport", "wire")
+    __slots__ = ("address", "attempt", "held", "idle_since", "open", "poll", "pool", "rested", "sock",
+                 "target", "transport", "wire")
 
     def __init__(self, pool: Backends, target: Target, address: tuple[str, int],
                  sock: socket.socket) -> None:
         self.pool, self.target, self.address, self.sock = pool, target, address, sock
         self.wire = pool.make_wire()
+        self.poll = select.poll()
+        self.poll.register(sock, select.POLLIN)
         self.held = 0  # bytes of an answer that is not whole yet
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -135,13 +138,7 @@
 
     def stale(self) -> bool:
         """Whether the peer has ended or spoken already, though the loop has not told so yet."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return bool(self.poll.poll(0))
 
     def close(self) -> None:
         """Closes at once.  Guards against two attempts out together: the loop ends a connection only at
