--- a/mulleinhall/core/wheel.py
+++ b/mulleinhall/core/wheel.py
@@ -12,7 +12,8 @@
 
 log = logging.getLogger(__name__)
 
-GRAIN: Final = 0.001  # s: timers are due at whole multiples of it, and never early
+GRAIN: Final = 0.001  # s: timers are due at whole multiples of it
+ROUNDED: Final = 1e-6  # s by which a timer may be early, so that no clock's rounding makes it wake in vain
 
 
 class Due:
@@ -77,9 +78,9 @@
 
     def _fire(self) -> None:
         self._disarm()  # apart, since what fires may arm it again, which the compiler would not expect here
-        now = self.clock() / self.grain
+        now = self.clock() + ROUNDED
         try:
-            while self.order and self.order[0] <= now:
+            while self.order and self.order[0] * self.grain <= now:
                 slot = self.slots.pop(heappop(self.order), None)
                 for due in slot or ():
                     self._call(due)
