--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -24,6 +24,7 @@
 
 import uvloop
 
+from benchmarks.ratios import spread
 from mulleinhall.lab.deployment import Deployment
 from mulleinhall.lab.report import report
 from mulleinhall.lab.scenario import Scenario
@@ -84,10 +85,10 @@
     print(f"{'':<22}{options.old[:10]:>12}{options.new[:10]:>12}{'ratio':>9}   lowest and highest ratio")
     result: dict[str, Any] = {"rounds": rounds}
     for name in NAMES:
-        ratios = sorted(new[name] / old[name] for old, new in rounds if old[name])
-        result[name] = median(ratios)
+        ratio, lowest, highest = spread(new[name] / old[name] for old, new in rounds if old[name])
+        result[name] = ratio
         old, new = (median(pair[which][name] for pair in rounds) for which in (0, 1))
-        print(f"{name:<22}{old:>12.1f}{new:>12.1f}{median(ratios):>9.3f}   {ratios[0]:.3f} {ratios[-1]:.3f}")
+        print(f"{name:<22}{old:>12.1f}{new:>12.1f}{ratio:>9.3f}   {lowest:.3f} {highest:.3f}")
     if options.json:
         Path(options.json).write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
     return 0
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -29,6 +29,7 @@
 from typing import Any
 
 from benchmarks.compare import ROOT, checked_out
+from benchmarks.ratios import spread
 from mulleinhall.compiled import SWITCH, Form
 
 LISTENERS = 8  # sockets on which the stand-in servers answer; a long list names each many times
@@ -209,10 +210,10 @@
     for case in cases:
         for name in names:
             found = [row[case.name, name] for row in rounds]
-            ratios = sorted(row[case.name, name]["cpu_us"] / row[case.name, RELAY]["cpu_us"]
-                            for row in rounds)
-            rows.append({"case": case.name, "subject": name, "ratio": median(ratios), "lowest": ratios[0],
-                         "highest": ratios[-1]} | {key: median(x[key] for x in found) for key in FIGURES})
+            ratio, lowest, highest = spread(
+                row[case.name, name]["cpu_us"] / row[case.name, RELAY]["cpu_us"] for row in rounds)
+            rows.append({"case": case.name, "subject": name, "ratio": ratio, "lowest": lowest,
+                         "highest": highest} | {key: median(x[key] for x in found) for key in FIGURES})
     return rows
 
 
--- a/benchmarks/pairs.py
+++ b/benchmarks/pairs.py
@@ -20,6 +20,7 @@
 
 import uvloop
 
+from benchmarks.ratios import spread
 from mulleinhall.lab.deployment import Deployment
 from mulleinhall.lab.report import report
 from mulleinhall.lab.scenario import DIALECTS, OLD, Scenario
@@ -65,9 +66,10 @@
     result: list[dict[str, Any]] = []
     for client, server in PAIRS:
         ratios = sorted(row[client, server] / row[OLD, OLD] for row in rounds)
+        ratio, lowest, highest = spread(ratios)
         cpu = median(row[client, server] for row in rounds)
         result.append({"clients": client, "servers": server, "cpu_us_per_request": cpu, "ratios": ratios})
-        print(f"{client:<10}{server:<10}{cpu:>7.0f}{median(ratios):>8.3f}   {ratios[0]:.3f} {ratios[-1]:.3f}")
+        print(f"{client:<10}{server:<10}{cpu:>7.0f}{ratio:>8.3f}   {lowest:.3f} {highest:.3f}")
     if options.json:
         Path(options.json).write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
     return 0
--- a/mulleinhall/compiled/__main__.py
+++ b/mulleinhall/compiled/__main__.py
@@ -26,10 +26,8 @@
 
 
 SETUP = """
-import sys
 from mypyc.build import mypycify
 from setuptools import setup
-from setuptools.dist import Distribution
 modules = mypycify({arguments!r}, opt_level={level!r}, group_name={group!r}, target_dir="c")
 setup(name="hot", packages=[], py_modules=[], ext_modules=modules,
       script_args=["-q", "build_ext", "--build-lib", "lib", "--build-temp", "objects", "-j", {jobs!r}])
@@ -82,7 +80,7 @@
             shutil.copyfile(made, target)
         if stamp(work) != name:
             raise CannotCompile("the sources changed meanwhile")
-        with contextlib.suppress(FileExistsError, OSError):  # another build of the same may have been first
+        with contextlib.suppress(OSError):  # another build of the same may have been first
             form.rename(final)
     if not final.is_dir():
         raise CannotCompile(f"{final} could not be put in place")
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -349,6 +349,10 @@
         server.out[key] = now
         if server.present:
             self.totals.out += 1
+        # Guards against an id that comes twice while its first attempt is out: what that left would count
+        # as waiting for ever.
+        if (old := self.held.get(key)) is not None:
+            self.weights[old[1]] -= 1
         self.held[key] = until, weight
         self.weights[weight] = self.weights.get(weight, 0) + 1
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -196,3 +196,15 @@
     sent = sends(play.ask(0.01))
     assert sent
     assert sent[0].backend not in {s.info.id for s in near}
+
+
+def test_an_id_that_comes_twice_leaves_nothing_that_counts_as_waiting() -> None:
+    """The first attempt is still out when its id is sent anew."""
+    play = Play(WIDE)
+    [first] = sends(play.ask(id="twice"))
+    [second] = sends(play.ask(id="twice"))
+    weights, held = play.gateway.fleet.weights, play.gateway.fleet.held
+    assert sum(weights.values()) == len(held) == 1
+    play.end(second)
+    play.end(first)
+    assert sum(weights.values()) == len(held) == 0
