A timer set by a firing timer no longer hides all earlier ones

Cause: while the wheel fired, the first timer that was set anew armed the loop for its own slot, and nothing armed it for the slots before.

Change: what is set while the wheel fires is armed with all others when that is over. The drawn test of the wheel sets timers from timers now; it failed at once without the mend (two steps are enough) and passes with it.

--- a/mulleinhall/core/wheel.py
+++ b/mulleinhall/core/wheel.py
@@ -47,6 +47,7 @@
         self.order: list[int] = []  # a heap: each slot that is in use, perhaps some that are not
         self.armed: Handle | None = None
         self.armed_slot = 0
+        self.firing = False
 
     def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Due:
         number = ceil((self.clock() + max(0.0, delay)) / self.grain)
@@ -55,7 +56,8 @@
         if slot is None:
             slot = self.slots[number] = {}
             heappush(self.order, number)
-            if self.armed is None or number < self.armed_slot:
+            # Guards earlier slots: what a firing timer sets is armed with all others when that is over.
+            if not self.firing and (self.armed is None or number < self.armed_slot):
                 self._arm(number)
         slot[due] = None
         return due
@@ -73,11 +75,8 @@
         self.armed_slot = number
         self.armed = self.timers.call_later(max(0.0, number * self.grain - self.clock()), self._fire)
 
-    def _disarm(self) -> None:
-        self.armed = None
-
     def _fire(self) -> None:
-        self._disarm()  # apart, since what fires may arm it again, which the compiler would not expect here
+        self.armed, self.firing = None, True
         now = self.clock() + ROUNDED
         try:
             while self.order and self.order[0] * self.grain <= now:
@@ -85,9 +84,10 @@
                 for due in slot or ():
                     self._call(due)
         finally:
+            self.firing = False
             while self.order and self.order[0] not in self.slots:
                 heappop(self.order)
-            if self.order and self.armed is None:
+            if self.order:
                 self._arm(self.order[0])
 
     def _call(self, due: Due) -> None:
--- a/tests/test_wheel.py
+++ b/tests/test_wheel.py
@@ -48,6 +48,8 @@
     st.lists(
         st.one_of(
             st.tuples(st.just("set"), st.floats(0.0, 0.05)),
+            # Sets the second one when it fires, as an attempt's end sets the next attempt's timer.
+            st.tuples(st.just("chain"), st.tuples(st.floats(0.0, 0.05), st.floats(0.0, 0.05))),
             st.tuples(st.just("cancel"), st.integers(0, 9)),
             st.tuples(st.just("wait"), st.floats(0.0, 0.03)),
         ),
@@ -66,9 +68,21 @@
         assert number not in fired and number not in cancelled
         fired[number] = loop.now
 
+    def put(delay: float, then: float | None = None) -> None:
+        number = len(timers)
+
+        def go() -> None:
+            fire(number)
+            if then is not None:
+                put(then)
+
+        timers.append((number, loop.now + delay, wheel.call_later(delay, go)))
+
     for what, value in steps:
         if what == "set":
-            timers.append((len(timers), loop.now + value, wheel.call_later(value, fire, len(timers))))
+            put(value)
+        elif what == "chain":
+            put(*value)
         elif what == "cancel" and timers:
             number, _, handle = timers[value % len(timers)]
             handle.cancel()
