--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -10,7 +10,7 @@
 from mulleinhall.lab.deployment import CLASSES, PLANS, Deployment
 from mulleinhall.lab.measure import measure
 from mulleinhall.lab.record import Arrival, Life, Record, Start, Told, Try
-from mulleinhall.lab.referee import judge
+from mulleinhall.lab.referee import Verdict, judge
 
 D = Deployment(classes=(*CLASSES, replace(CLASSES[1], name="pay", semantics="unsafe")))
 
@@ -89,6 +89,19 @@
     assert len(judge(record, D).breaches) == 1
 
 
+def test_an_ingress_that_got_no_core_is_in_doubt_and_one_that_got_it_is_late() -> None:
+    """Many short waits of one process count together; those of others, or of long before, do not."""
+    def verdict(*starved: tuple[float, int, float]) -> Verdict:
+        late = tried(answered=12.15)
+        return judge(Record([late], [came()], lives=[Life(0, 0.0)], starved=list(starved)), D)
+
+    short = (11.7, 0, 0.04), (11.95, 0, 0.04), (12.2, 0, 0.04)
+    assert verdict(*short).doubtful and not verdict(*short).judged
+    assert verdict(*short[:2]).breaches and verdict(*short[:2]).judged
+    assert verdict((11.7, 0, 0.04), (11.95, 1, 0.04), (12.2, 2, 0.04)).breaches
+    assert verdict((11.5, 0, 0.2), (12.5, 0, 0.2)).breaches
+
+
 def test_a_machine_that_was_late_all_the_time_is_not_judged() -> None:
     record = Record(lags=[(float(n), 0.3 if n % 5 == 0 else 0.0) for n in range(50)])
     assert not judge(record, D).judged
