Long warm servers are served a first crowd: 12 attempts over all gateways, not one each

Need: after a start most of the first 60 requests of 16 clients were refused. Which rule asks for that: none, where a server is long warm or the settings name no cold time. The fourth rule spares cold servers alone; what is known of a warm one's size is nothing, and a queue that is full says so at once, which proves that nothing ran. Change: the first limit of a server that is long warm is 12 attempts shared among the gateways, one from each at least; cold ones keep one.

--- a/benchmarks/hammer.py
+++ b/benchmarks/hammer.py
@@ -2,7 +2,8 @@
 
 `python -m benchmarks.hammer serve COUNT` prints the addresses that it serves.  `python -m benchmarks.hammer
 ask ADDRESS CONNECTIONS PIPELINED CUSTOMERS` prints a line once it asks, and from then on one line of JSON for
-each line that it reads: what was served and refused since, connections lost, and latencies in seconds.
+each line that it reads: what was served and refused since, connections lost, the share refused of the first
+60 answers, and latencies in seconds.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 
 VALUE = b"*3\r\n$64\r\n" + b"v" * 64 + b"\r\n$-1\r\n$-1\r\n"
 MOST_KEPT = 200_000  # latencies that are kept; later ones are not
+FIRST = 60  # answers after the start that are looked at apart
 PAUSE = 0.002  # s before a refused client asks again
 
 
@@ -90,13 +92,15 @@
 
     def __init__(self) -> None:
         self.fresh()
-        self.lost = 0
+        self.lost = self.answers = self.first_refused = 0
 
     def fresh(self) -> None:
         self.served = self.refused = 0
         self.latencies: list[float] = []
 
     def took(self, seconds: float, served: bool) -> None:
+        self.answers += 1
+        self.first_refused += not served and self.answers <= FIRST
         if served:
             self.served += 1
             if len(self.latencies) < MOST_KEPT:
@@ -127,6 +131,7 @@
     while True:
         await lines.get()
         print(json.dumps({"served": tally.served, "refused": tally.refused, "lost": tally.lost,
+                          "first_refused": tally.first_refused / FIRST,
                           "latencies": sorted(tally.latencies)[::max(1, len(tally.latencies) // 1000)]}),
               flush=True)
         tally.fresh()
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -29,6 +29,7 @@
 SMOOTH: Final = 0.15  # weight of a new sample in a running mean: about the last dozen count
 BUSY: Final = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
 START_LIMIT: Final = 1.0  # attempts a backend gets from here before its first answer; it grows with good ones
+START_WARM: Final = 12.0  # attempts that one long warm gets before its first answers, from all gateways
 CUT: Final = 0.85  # a backend's limit shrinks to this share when it is busy
 SPARE: Final = 0.55  # of what the backends may hold: past it the least worth goes first
 CALM: Final = 0.2  # of the aim: attempts out this long on the mean begin, and end, to be shed
@@ -215,18 +216,18 @@
     """One backend: what it holds from here, how it fares, and whether it is cold or leaving."""
 
     def __init__(self, info: api.Backend, now: float, level: float = 0.0,
-                 totals: Totals | None = None) -> None:
+                 totals: Totals | None = None, limit: float = START_LIMIT) -> None:
         self.info, self.present, self.totals = info, False, totals or Totals()
         self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
         self.oldest = 0.0  # when the first of them was sent
-        self.fresh_start(now, level)
+        self.fresh_start(now, level, limit)
 
-    def fresh_start(self, now: float, level: float) -> None:
+    def fresh_start(self, now: float, level: float, limit: float) -> None:
         """Danger: cold budgets far under one attempt that start alike reach it at one moment, or too late.
         With a `level` drawn evenly from 0 to 1 all gateways together send at their rate from the start."""
         self.pace, self.pace_at = 1.0, now  # answer time beside what the class takes on the mean
         self.wait = BUSY  # mean answer time as a share of the aim
-        self.limit = START_LIMIT
+        self.limit = limit
         self.cut_at, self.was_cut = now, False
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
         self.budget = Bucket(0.0, 1.0, level, now)
@@ -322,11 +323,14 @@
             for server in self.servers.values():
                 server.present = server.present and server.info.id in named
         for info in event.backends:
+            # Nothing is known yet of one that has been warm for long; only a cold one must be spared.
+            warm = info.started + self.settings.cold_time <= now
+            limit = max(START_LIMIT, START_WARM / self.settings.gateways) if warm else START_LIMIT
             if info.id not in self.servers:
-                self.servers[info.id] = Server(info, now, self.rng.random(), self.totals)
+                self.servers[info.id] = Server(info, now, self.rng.random(), self.totals, limit)
             server = self.servers[info.id]
             if info.started != server.info.started:
-                server.fresh_start(now, self.rng.random())
+                server.fresh_start(now, self.rng.random(), limit)
             server.info, server.present = info, info.readiness is api.Readiness.READY
         for name in [n for n, s in self.servers.items() if not s.present and not s.out]:
             if self.servers[name].info.readiness is api.Readiness.GONE or name not in named:
