--- a/tests/test_lab_breaches.py
+++ b/tests/test_lab_breaches.py
@@ -23,7 +23,7 @@
     "short": Scenario("short", 3.0, 32, SHORT_MEMORY),
     "drain": Scenario("drain", 4.0, 33, Deployment(notice=0.3),
                       tuple(Fault(0.2, "drain", f"server-{n}", {"seconds": 5.0}) for n in range(3))),
-    "cold": Scenario("cold", 6.0, 34, Deployment(busy=0.75, rate=150.0, cold_share=0.1),
+    "cold": Scenario("cold", 6.0, 34, Deployment(busy=0.75, rate=150.0, cold_share=0.05, cold_time=20.0),
                      (Fault(0.5, "restart", "server-2", {"seconds": 0.3}),)),
     "surge": Scenario("surge", 6.5, 35, Deployment(rate=30.0, busy=0.05),
                       (Fault(0.2, "surge", "editorial", {"seconds": 6.5, "factor": 25.0}),)),
