Quotas rest on evidence: books, check counts, late totals; a counter in trouble is known for it

Need: a counter that parted in two let each half grant the whole store, one that began anew was believed, totals that came late were thrown away, what others added to a name after its last reading was lost at each change of names, use that could not be told while the counter was lost waited for the customer's next request, and two customers with one crc32 shared a count.

A hypothesis machine over the books shows each trouble to have come about. Tests of module and sockets pass interpreted and compiled.

--- a/mulleinhall/compiled/__init__.py
+++ b/mulleinhall/compiled/__init__.py
@@ -25,6 +25,7 @@
     "mulleinhall.core.terms", "mulleinhall.core.wheel",
     "mulleinhall.dialects.http_v2",  # not hot, but it has a class below one of core's, as resp3 has
     "mulleinhall.platform.counter",
+    "mulleinhall.quota.evidence", "mulleinhall.quota.names", "mulleinhall.quota.witness",
     "mulleinhall.resp.back", "mulleinhall.resp.commands", "mulleinhall.resp.frames", "mulleinhall.resp.front",
     "mulleinhall.resp.resp3",
     "mulleinhall.transport.listener", "mulleinhall.transport.pool", "mulleinhall.transport.talk",
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -16,13 +16,18 @@
 from zlib import crc32
 
 import mulleinhall.interface as api
+from mulleinhall.quota import names
+from mulleinhall.quota.evidence import NEVER, Account, Known
+from mulleinhall.quota.witness import RESTART, Check, Witness
 
-EPOCH: Final = 30.0  # s: a counter name serves this long; half of the longest life a name may have
 LOW: Final = 0.5  # of the slice: below this a gateway tells others of its use
-FRESH: Final = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
 PEER_PERIOD: Final = 0.25  # s between two messages to peers; short beside any burst, long beside any request
 EXACT: Final = 0.1  # bursts that a count may pass its ends by before it is put right; more in a crowd
 ASK_LESS: Final = 0.3  # of the questions: fewer after one that failed; a quick answer brings back 1/8 of it
+LOST_PAUSE: Final = 0.5  # s without a question about a customer whose count can't be reached; then twice that
+MOST_PAUSE: Final = 1.0  # s, the longest such pause
+TOLD_AT_ONCE: Final = 40  # customers whose use is told at a tick of a counter that is not crowded
+RARER: Final = 3.0  # of the least that is told: so much more it has to be where the counter is most crowded
 LEAST_ASKED: Final = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
 QUICK: Final = 0.25  # of the time-out: a counter that answers sooner can take more
 IDLE: Final = 60.0  # s: a customer unseen this long is dropped if its buckets are full
@@ -65,45 +70,6 @@
         self.level -= units
 
 
-class Elsewhere:
-    """What is known of one customer's store when the use of the other gateways is counted in.
-
-    Danger: a customer gathered on few gateways is refused while its other slices sit full.  Told use
-    (counter, peers) is taken off a copy of the whole store, which is believed only for a while.
-    """
-
-    def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
-        self.fill, self.cap, self.thin = plan.rate, plan.burst, thin
-        self.life = FRESH * plan.burst / plan.rate if plan.rate else 1.0
-        self.base, self.own = plan.burst, 0.0  # the level when last told, and what was used here since
-        self.rate = 0.0  # units/s the others use as told
-        self.at, self.told_at = now, -1e18
-
-    def fresh(self, now: float) -> bool:
-        return now - self.told_at <= self.life
-
-    def level(self, now: float) -> float:
-        """The level now, if the others go on as they did, less so the longer nothing is heard."""
-        gap = now - self.at
-        others = self.rate * (gap if self.thin else self.life * (1.0 - exp(-gap / self.life)))
-        return min(self.cap, self.base + self.fill * gap - others - self.own)
-
-    def take(self, now: float, units: float) -> None:
-        self.own += min(units, max(0.0, self.level(now)))
-
-    def told(self, now: float, used: float) -> None:
-        """The others used `used` units since the last word."""
-        gap = now - self.at
-        level = self.base + self.fill * gap - self.own
-        self.base = max(-self.cap, min(self.cap, level - used))
-        self.rate = self.rate * exp(-gap / self.life) + used / max(gap, self.life)
-        self.own, self.at, self.told_at = 0.0, now, now
-
-    def reset(self, now: float, level: float) -> None:
-        """The first word on this customer: its whole store is thought to hold `level`."""
-        self.base, self.own, self.at, self.told_at = min(self.cap, level), 0.0, now, now
-
-
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
@@ -122,10 +88,13 @@
         self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
                               min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
         self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
-        self.elsewhere = Elsewhere(plan, now, self.thin)
+        self.elsewhere = Known(plan, now, self.thin)
         self.unreported, self.used = 0.0, 0.0
-        self.name, self.name_start, self.mine, self.others = -1, now, 0.0, 0.0
-        self.asked_at = -1e18  # when the counter call that is out was made
+        self.number = names.number(self.key)
+        self.account = Account(-1, now)
+        self.ask_again, self.pause = NEVER, 0.0  # when, and how long after its count could not be reached
+        self.evened = NEVER  # the word by which the slice was last put right, since no further one came
+        self.asked_at = NEVER  # when the counter call that is out was made
         self.held: list[Job] = []
 
     def resize(self, now: float, event: api.Request) -> None:
@@ -523,6 +492,8 @@
         self.customers: dict[str, Customer] = {}
         self.by_hash: dict[int, Customer] = {}
         self.asked: dict[int, tuple[Customer, float]] = {}
+        self.late: dict[int, tuple[Customer, float]] = {}  # calls that had no answer in time
+        self.witness = Witness(settings.gateways)
         self.jobs: dict[str, Job] = {}
         self.out: dict[tuple[str, int], tuple[Job, Server]] = {}
         self.born: float | None = None
@@ -591,6 +562,7 @@
             customer = Customer(event, plan, now, age, self.counting, self.settings.most_units)
             self.customers[event.customer] = self.by_hash[customer.hash] = customer
         customer.seen = now
+        self._part(now, customer)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
         # has left tells when it began, unless its wait is cut to that of a first try.
@@ -639,9 +611,14 @@
             # An asked total holds this request's units already; what was taken since is off the copy.
             inside = customer.elsewhere.level(now) >= job.units
         else:
-            inside, known = customer.slice_fits(now, job.units), customer.elsewhere
-            if not inside and customer.thin and now - self.answered_at < EPOCH / 3:  # crowded, not dead
-                recent = now - known.told_at < EPOCH / 3
+            known = customer.elsewhere
+            if plan.ceiling_rate and known.told_at > customer.evened:  # it must hold: the careful end
+                customer.evened = known.told_at
+                customer.slice_fits(now, 0.0)
+                customer.slice.level = min(customer.slice.level, max(0.0, known.even(now, customer.spread)))
+            inside = customer.slice_fits(now, job.units)
+            if not inside and customer.thin and now - self.answered_at < names.EPOCH / 3:  # crowded, not dead
+                recent = now - known.told_at < names.EPOCH / 3
                 inside = known.level(now) >= job.units if recent else self._pays(plan)
         if plan.open_limit and customer.open >= customer.open_limit:
             inside = False
@@ -747,77 +724,159 @@
         Danger: two gateways that ask at once are told of the same room.  The units of a request that
         waits for the answer are counted with the call, so that the later call sees the earlier one.
         """
-        if not self.counting or customer.asked_at > -1e17 or (job and self.rng.random() >= self.ask_share):
+        if not self.counting or customer.asked_at > NEVER or now < customer.ask_again:
+            return False
+        if job and self.rng.random() >= self.ask_share:
             return False
         if job is not None:
             job.counted = True
             # Each question stands for those like it that were sent unasked.
             unasked = customer.thin and self._pays(job.plan)
             customer.unreported += job.units / (self.ask_share if unasked else 1.0)
-        offset = customer.hash % 1000 / 1000
-        index = int(now / EPOCH + offset)
-        name = customer.hash << 24 | index & 0xFFFFFF
-        if name != customer.name:
-            customer.name, customer.name_start = name, (index - offset) * EPOCH
-            customer.mine = customer.others = 0.0
-        customer.asked_at = now
-        self.untold.pop(customer.key, None)
-        self.asked[name] = customer, customer.unreported
-        self.actions.append(api.Count(name, round(customer.unreported, 3), 2 * EPOCH))
+        name, start = names.name(customer.number, now)
+        account = customer.account
+        customer.asked_at, add = now, customer.unreported
+        if name != account.name and account.unread(now):
+            # Danger: what others added to a name after it was last read would never be known.  All leave it
+            # at one moment: it is read once more after that, and nothing is added.
+            account.closed, name, add = True, account.name, 0.0
+        else:
+            self.untold.pop(customer.key, None)
+            if name != account.name:
+                customer.account = Account(name, start)
+        self.asked[name] = customer, add
+        self.actions.append(api.Count(name, round(add, 3), names.LIFE))
         return True
 
     def _counted(self, now: float, event: api.CounterReply) -> None:
-        customer, added = self.asked.pop(event.name, (None, 0.0))
-        if customer is None:
+        check = self.witness.find(event.name)
+        if check is not None:
+            self._checked(now, event, check)
+            return
+        customer, added = self.asked.get(event.name, (None, 0.0))
+        if customer is None or now - event.latency < customer.asked_at - self.settings.tick:
+            self._late(now, event)
             return
-        customer.asked_at = -1e18
+        del self.asked[event.name]
+        customer.asked_at = NEVER
+        account, known, plan = customer.account, customer.elsewhere, customer.plan
         if event.outcome is not api.Outcome.OK:
             # Danger: hundreds of gateways that ask more than a counter can take get no answer at all, and
             # each question holds a request.  Each asks less when it fails and more when it is quick.
-            self.ask_share = max(LEAST_ASKED, self.ask_share * (1 - ASK_LESS))
-            if event.outcome is api.Outcome.TIMEOUT:  # added, most likely: a late call is still worked on
+            # Where its part can't be reached, nothing is crowded: that customer's questions alone wait.
+            if event.outcome is api.Outcome.CONNECT_FAILED:
+                customer.pause = min(MOST_PAUSE, max(LOST_PAUSE, 2 * customer.pause))
+                customer.ask_again = now + customer.pause
+            else:
+                self.ask_share = max(LEAST_ASKED, self.ask_share * (1 - ASK_LESS))
+            if event.outcome is api.Outcome.TIMEOUT:
                 customer.unreported -= added
-                customer.mine += added
+                account.unanswered(added)
+                self.late[event.name] = customer, now - event.latency
+            if customer.unreported:  # what could not be told is told with the next ones, once
+                self.untold[customer.key] = customer
         else:
-            self.answered_at = now
+            self.answered_at, customer.pause = now, 0.0
             if event.latency < QUICK * self.settings.counter_timeout:
                 self.ask_share = min(1.0, self.ask_share + ASK_LESS / 8)
             customer.unreported -= added
-            customer.mine += added
-            others, known = event.total - customer.mine, customer.elsewhere
-            plan, first = customer.plan, known.told_at < -1e17
-            used = event.total + customer.unreported - sum(job.units for job in customer.held)
-            level = plan.burst + plan.rate * (now - customer.name_start) - used
-            if first or customer.thin or others < customer.others - 0.01:  # at last: the count was lost
-                since = customer.name_start if first else known.told_at
-                known.rate = max(0.0, others - customer.others) / max(now - since, known.life)
+            first = known.told_at <= NEVER
+            lost, before, new_at = account.replaced, account.others, self.witness.replaced_at()
+            suspect = new_at > max(account.told_at, account.start)  # it may be another count than before
+            usual = known.rate * (now - known.at)
+            used = account.answered(now, added, event.total, 0.0 if suspect else self._slack(customer), usual)
+            customer.unreported += account.untold
+            level = plan.burst + plan.rate * (now - account.start) - (
+                event.total + account.lost + customer.unreported - sum(job.units for job in customer.held))
+            if first or customer.thin:
+                since = account.start if first else known.told_at
+                known.rate = max(0.0, account.others - before) / max(now - since, known.life)
+                if suspect and not customer.thin:  # what was used before it is not in the total
+                    level = min(level, customer.slice.level + plan.rate * (now - new_at))
                 known.reset(now, level)
+            elif account.replaced > lost or (suspect and used < usual):
+                known.unheard(now)
             else:
-                known.told(now, others - customer.others)
+                known.told(now, used)
             for job in customer.held:
                 inside = known.level(now) >= job.units
                 self.odds[plan.name] += SMOOTH / 4 * (inside - self.odds[plan.name])
-            customer.others = max(others, 0.0)
             # Danger: a count knows no ends, so idle time would add up to credit, and what is refused or sent
             # beyond the quota to debt.  It is put right at once, so that few do it twice.
             slack = (1 - self.ask_share + EXACT) * plan.burst
             if customer.thin and not -slack / 2 < level < plan.burst + 2 * slack:
                 customer.unreported += level - (plan.burst if level > 0 else 0.0)
                 self._ask(now, customer)
+        if account.closed and customer.held and self._ask(now, customer):
+            return  # it has just left the old name: what counts for these is the new one
         held, customer.held = customer.held, []
         for job in held:
             self._decide(now, job)
 
+    def _tell(self, now: float) -> None:
+        """Tells of use that no question told of.  Danger: hundreds that tell all they have once a counter is
+        back would jam it anew: the more it is crowded, the less is told at a time, those longest unheard
+        first, and the larger it has to be, but for plans that must hold."""
+        if not self.counting:
+            return
+        crowded = 1 - self.ask_share
+        due = [c for c in self.untold.values()
+               if abs(c.unreported) > (1 if c.plan.ceiling_rate else 1 + RARER * crowded) * c.plan.burst / 8
+               and c.asked_at <= NEVER]
+        due.sort(key=lambda c: c.account.told_at)
+        left = max(1, int(TOLD_AT_ONCE * self.ask_share))
+        for customer in due:
+            # One whose count could not be reached stands for the others of which that is so.
+            left -= TOLD_AT_ONCE // 2 if customer.pause else 1
+            self._ask(now, customer)
+            if left <= 0:
+                break
+
+    def _slack(self, customer: Customer) -> float:
+        """The units that others may have given back since the last total: of requests that were counted with
+        a question and then refused."""
+        return self.settings.most_units * max(1, customer.spread - 1) + EXACT * customer.plan.burst
+
+    def _late(self, now: float, event: api.CounterReply) -> None:
+        """A total that comes after its time is true for when it was made, if nothing was added since."""
+        customer, made = self.late.pop(event.name, (None, 0.0))
+        if customer is None or event.outcome is not api.Outcome.OK or customer.thin:
+            return
+        account = customer.account
+        if account.name == event.name and account.told_at < made and customer.asked_at <= NEVER:
+            self.witness.late += 1
+            known, slack = customer.elsewhere, self._slack(customer)
+            known.told(now, account.answered(now, 0.0, event.total, slack, known.rate * (now - known.at)))
+            customer.unreported += account.untold
+
+    def _checked(self, now: float, event: api.CounterReply, check: Check) -> None:
+        if not check.out or now - event.latency < check.made - self.settings.tick:
+            return  # it was given up, and counts anew
+        if event.outcome is api.Outcome.OK:
+            check.told(now, event.total, self.settings.gateways)
+        else:
+            check.failed(event.outcome is api.Outcome.TIMEOUT)
+
+    def _part(self, now: float, customer: Customer) -> None:
+        """What this gateway may give out of a store of which others may give out the rest unseen: the careful
+        share where a ceiling tells that a plan must hold; else the middle between that and all, and that only
+        where it has lasted longer than a gateway takes to start anew."""
+        if customer.plan.ceiling_rate:
+            customer.elsewhere.part(now, self.witness.share(now))
+        else:
+            customer.elsewhere.part(now, (1 + self.witness.share(now, RESTART)) / 2)
+
     def _tick(self, now: float) -> None:
         self.actions.append(api.SetTimer(self.period, TICK))
         self.fleet.recount()
         if now - self.swept > IDLE:
             self.swept = now
+            self.late.clear()
             for name in [k for k, c in self.customers.items() if c.idle(now)]:
                 self.by_hash.pop(self.customers.pop(name).hash, None)
-        for customer in list(self.untold.values()) if self.counting else ():
-            if abs(customer.unreported) > customer.plan.burst / 8:
-                self._ask(now, customer)
+        if self.counting:
+            self.actions += [api.Count(name, 1.0, names.LIFE) for name in self.witness.calls(now)]
+        self._tell(now)
         if not self.counting and self.settings.peers:
             text = str(self.life)
             for customer in sorted(self.customers.values(), key=lambda c: -abs(c.unreported)):
--- a/mulleinhall/platform/counter.py
+++ b/mulleinhall/platform/counter.py
@@ -19,6 +19,7 @@
 IDLE: Final = 8.0  # s: the counter closes a connection that is idle for about 10
 MOST_LINKS: Final = 8  # of the 32 connections that the counter holds of one ingress
 SILENT: Final = 6  # time-outs: a connection that owes an answer for this long is replaced
+LATEST: Final = 2.0  # s: a total that comes later is not told any more
 MOST_WAITING: Final = 2000  # calls that wait for an answer or a connection; more are turned away
 LONGEST_LINE: Final = 256  # bytes of an answer
 LOGGED: Final = 20  # faults that are logged one by one; of later ones, every hundredth
@@ -191,6 +192,9 @@
         """Whether the answer makes sense.  One that does not may be anything: the amount counts as added,
         and nothing that follows on its connection is believed."""
         if total := TOTAL.fullmatch(line):
+            if call.reported and self.clock() - call.made < LATEST:
+                # It came after its time was up, and is true all the same for when it was made.
+                self.told(CounterReply(call.name, Outcome.OK, float(total[1]), self.clock() - call.made))
             self.report(call, Outcome.OK, float(total[1]))
         elif line == b"busy":
             self.report(call, Outcome.FULL)
--- /dev/null
+++ b/mulleinhall/quota/evidence.py
@@ -0,0 +1,136 @@
+"""Evidence on one customer: what was added here, what totals came back, and the store that follows from both.
+
+`Account` keeps one name's books; `Known` keeps the whole store as an interval: its middle is what is most
+likely left, its careful end what is left if the worst that the evidence allows has happened.
+"""
+
+from __future__ import annotations
+
+from math import exp
+from typing import Final
+
+from mulleinhall.interface import Plan
+from mulleinhall.quota.names import LIFE
+
+FRESH: Final = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
+NEVER: Final = -1e18
+MARGIN: Final = 5.0  # s before a name's life ends in which it is not asked any more
+
+
+class Account:
+    """One name: what this gateway added for certain, what it may have added, and what totals told of others.
+
+    A total below what the books hold tells that the count was replaced, by an empty or an older one.  What
+    was lost with it is kept here and added to all later totals, so that what was known stays known.
+    """
+
+    def __init__(self, name: int, start: float) -> None:
+        self.name, self.start = name, start
+        self.mine = 0.0  # counted as added here: what was answered, and what had no answer in time
+        self.doubt = 0.0  # of that: what had no answer, and may not have been added
+        self.others, self.lost = 0.0, 0.0  # units; `lost` went with counts that were replaced
+        self.guessed = 0.0  # units of which it was guessed whether they had been added
+        self.untold = 0.0  # units that the last total showed not to have been added: to be told again
+        self.told_at = NEVER  # when a total last came
+        self.replaced, self.closed = 0, False
+
+    def unread(self, now: float) -> bool:
+        """Whether others may have added to this name after the last total, and it still lives."""
+        return not self.closed and self.told_at > NEVER and now < self.start + LIFE - MARGIN
+
+    def unanswered(self, added: float) -> None:
+        """A call had no answer in time: most likely it is still worked on and will be added."""
+        self.mine += added
+        self.doubt += max(0.0, added)
+
+    def answered(self, now: float, added: float, total: float, slack: float, expected: float) -> float:
+        """A total that holds `added`; the units that others used since the last one, of which `expected` are
+        usual.  Below what was known by more than `slack`, which others may have given back, the count was
+        replaced.  `untold` is then what was in doubt and is not in the total, by the nearer of both cases."""
+        self.mine += added
+        self.untold = 0.0
+        others = total + self.lost - self.mine
+        if others < self.others - slack - self.doubt:
+            self.replaced += 1
+            self.lost += self.others - others
+            others = self.others
+        elif self.doubt and others - self.others + self.doubt / 2 < expected:
+            self.mine, self.untold = self.mine - self.doubt, self.doubt
+            others += self.doubt
+        used, self.others = others - self.others, others
+        self.guessed += self.doubt
+        self.doubt, self.told_at = 0.0, now
+        return used
+
+    def bounds(self, now: float, plan: Plan, whole: bool) -> tuple[float, float]:
+        """The least and the most that all gateways have used inside the quota under this name.  `whole`: no
+        check has told of another count, or of gateways missing, since the name began.  Within the time that
+        a check takes to tell, the most may be told too low."""
+        least = self.mine - self.doubt - self.guessed + self.others
+        most = plan.burst + plan.rate * (now - self.start)  # no more is ever inside a quota
+        if whole and not self.replaced:
+            unheard = plan.burst + plan.rate * (now - max(self.told_at, self.start))
+            most = min(most, self.mine + self.guessed + self.others + unheard)
+        return max(0.0, least), max(0.0, least, most)
+
+
+class Known:
+    """What is known of one customer's store when the use of the other gateways is counted in.
+
+    Danger: a customer gathered on few gateways is refused while its other slices sit full.  Told use
+    (counter, peers) is taken off a copy of the whole store, which is believed only for a while.
+    """
+
+    def __init__(self, plan: Plan, now: float, thin: bool) -> None:
+        self.plan, self.fill, self.cap, self.thin = plan, plan.rate, plan.burst, thin
+        self.life = FRESH * plan.burst / plan.rate if plan.rate else 1.0
+        self.base, self.own = plan.burst, 0.0  # the level when last told, and what was used here since
+        self.rate, self.since = 0.0, 0.0  # units/s the others use as told; all units used here since then
+        self.at, self.told_at, self.share = now, NEVER, 1.0
+
+    def fresh(self, now: float) -> bool:
+        return now - self.told_at <= self.life
+
+    def level(self, now: float) -> float:
+        """The level now, if the others go on as they did, less so the longer nothing is heard."""
+        gap = now - self.at
+        others = self.rate * (gap if self.thin else self.life * (1.0 - exp(-gap / self.life)))
+        return min(self.cap, self.base + self.fill * gap - others - self.own)
+
+    def take(self, now: float, units: float) -> None:
+        self.own += min(units, max(0.0, self.level(now)))
+        self.since += units
+
+    def even(self, now: float, parts: int) -> float:
+        """This gateway's even part of what was left at the last word, filled at its even rate since.  Danger:
+        when totals stop, the slices of gateways that were asked for little sit full, though what they hold
+        was lent to others: together they would give it out once more."""
+        return min(self.cap, max(0.0, self.base) + self.fill * (now - self.at)) / parts - self.since
+
+    def told(self, now: float, used: float) -> None:
+        """The others used `used` units since the last word."""
+        gap = now - self.at
+        level = self.base + self.fill * gap - self.own
+        self.base = max(-self.cap, min(self.cap, level - used))
+        self.rate = self.rate * exp(-gap / self.life) + used / max(gap, self.life)
+        self.own, self.since, self.at, self.told_at = 0.0, 0.0, now, now
+
+    def unheard(self, now: float) -> None:
+        """A total came that tells nothing of the time since the last one: the others went on as they did."""
+        self.base = self.level(now)
+        self.own, self.since, self.at, self.told_at = 0.0, 0.0, now, now
+
+    def reset(self, now: float, level: float) -> None:
+        """The first word on this customer: its whole store is thought to hold `level`."""
+        self.base, self.own, self.since, self.at, self.told_at = min(self.cap, level), 0.0, 0.0, now, now
+
+    def part(self, now: float, share: float) -> None:
+        """Only that share of the store may be given out from now on where this gateway's totals come from,
+        since others give out the rest elsewhere.  Danger: two halves that each see a store that nobody else
+        uses would both give out the whole of it.  What a share had left is not made more when it grows."""
+        if share == self.share:
+            return
+        level = self.level(now)
+        self.base = min(level, level * share / self.share)
+        self.own, self.since, self.at = 0.0, 0.0, now
+        self.share, self.fill, self.cap = share, self.plan.rate * share, self.plan.burst * share
--- /dev/null
+++ b/tests/test_quota_evidence.py
@@ -0,0 +1,337 @@
+"""Names, books and checks of the counter: what they hold for any order of calls, losses and replacements."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mulleinhall.interface import Count, CounterReply, Outcome, Plan, Timer
+from mulleinhall.quota import names
+from mulleinhall.quota.evidence import Account, Known
+from mulleinhall.quota.witness import CHECKS, PERIOD, State, Witness
+
+from .conftest import SETTINGS, Play, sends
+
+PLAN = Plan("p", rate=2.0, burst=8.0)
+CAME_ABOUT: Counter[str] = Counter()  # in the books' machine
+COUNTING = replace(SETTINGS, gateways=3, counter=True, counter_timeout=0.05)
+
+
+# Names
+
+def test_names_fit_the_wire_and_change_once_an_epoch_at_many_moments() -> None:
+    numbers = [names.number(f"{n:016x}") for n in range(5000)]
+    assert len(set(numbers)) == 5000 and max(numbers) < 2**55
+    changes = set()
+    for number in numbers[:200]:
+        found, start = names.name(number, 1000.0)
+        assert 0 <= found < 2**63 and len(str(found)) <= 64
+        assert start <= 1000.0 < start + names.EPOCH
+        assert names.name(number, start + names.EPOCH - 0.01) == (found, start)
+        assert names.name(number, start + names.EPOCH + 0.01)[0] != found
+        changes.add(round(start % names.EPOCH, 1))
+    assert len(changes) > 100  # they don't all change at one moment
+
+
+def test_customers_whose_crc32_is_one_have_counts_of_their_own() -> None:
+    assert names.number("plumless") != names.number("buckeroo")  # both are 4ddb0c25 in crc32
+
+
+# Books
+
+def test_a_replaced_count_loses_nothing_that_was_known() -> None:
+    books = Account(1, 0.0)
+    assert books.answered(1.0, 2.0, 10.0, 1.0, 0.0) == 8.0  # 8 of others
+    assert books.answered(2.0, 1.0, 1.0, 1.0, 0.0) == 0.0  # an empty one, with this call's unit alone
+    assert books.replaced == 1 and books.others == 8.0
+    assert books.answered(3.0, 1.0, 5.0, 1.0, 0.0) == 3.0  # others added 3 since
+
+
+def test_what_others_give_back_is_no_replacement() -> None:
+    books = Account(1, 0.0)
+    books.answered(1.0, 0.0, 10.0, 1.0, 0.0)
+    assert books.answered(2.0, 0.0, 9.5, 1.0, 0.0) == -0.5 and not books.replaced
+
+
+@pytest.mark.parametrize(("total", "untold", "used"), [
+    (14.0, 4.0, 4.0),  # 4 more came, and 4 of others are usual: ours were not added
+    (18.0, 0.0, 4.0),  # 8 more: ours were
+    (10.0, 4.0, 0.0)])
+def test_a_lost_answer_is_told_again_if_the_next_total_lacks_it(
+        total: float, untold: float, used: float) -> None:
+    books = Account(1, 0.0)
+    books.answered(1.0, 0.0, 10.0, 1.0, 0.0)
+    books.unanswered(4.0)
+    assert books.bounds(1.0, PLAN, True)[0] == 10.0
+    assert books.answered(2.0, 0.0, total, 1.0, 4.0 if total > 10 else 0.0) == used
+    assert books.untold == untold
+
+
+class Books(RuleBasedStateMachine):
+    """One gateway's books beside the truth.  Two others use and tell; the counter loses answers and calls, is
+    replaced by an empty or an older one, and parts in two."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now, self.level, self.used = 0.0, PLAN.burst, 0.0  # the true store, and all taken from it
+        self.books, self.witness, self.unreported = Account(1, 0.0), Witness(3), 0.0
+        self.here, self.there, self.old = 0.0, 0.0, 0.0  # this side's copy, the other's, and a copy kept
+        self.parted, self.changed, self.marks = False, -100.0, {"here": 0.0, "there": 0.0}
+        self.whole, self.due = True, 0.0
+        CAME_ABOUT["run"] += 1
+
+    def use(self, units: float) -> float:
+        units = min(units, self.level)
+        self.level, self.used = self.level - units, self.used + units
+        return units
+
+    @rule(units=st.sampled_from([0.5, 1.0, 2.0]))
+    def others_use(self, units: float) -> None:
+        units = self.use(units)
+        if self.parted:
+            self.there += units
+        else:
+            self.here += units
+
+    @rule(units=st.sampled_from([0.5, 1.0, 2.0]),
+          end=st.sampled_from(["ok", "ok", "refused", "lost", "unanswered"]))
+    def call(self, units: float, end: str) -> None:
+        self.unreported += self.use(units)
+        added = self.unreported
+        if end == "refused":
+            return
+        if end != "lost":
+            self.here += added
+        self.unreported = 0.0
+        if end == "ok":
+            before = self.books.replaced
+            self.books.answered(self.now, added, self.here, 0.0, 0.0)
+            self.unreported += self.books.untold
+            CAME_ABOUT["told again"] += self.books.untold > 0
+            CAME_ABOUT["replaced, seen by the books"] += self.books.replaced > before
+        else:
+            self.books.unanswered(added)
+
+    @rule(seconds=st.sampled_from([0.25, 1.0, 3.0]))
+    def wait(self, seconds: float) -> None:
+        """Time passes in steps in which all gateways add to the checks."""
+        for _ in range(int(seconds / 0.25)):
+            self.now += 0.25
+            self.level = min(PLAN.burst, self.level + PLAN.rate * 0.25)
+            if self.now + 1e-9 < self.due:
+                continue
+            self.due = self.now + PERIOD
+            for name in self.witness.calls(self.now):
+                check = self.witness.find(name)
+                assert check is not None
+                index = self.witness.checks.index(check)
+                self.marks[f"{index}"] = self.marks.get(f"{index}", 0.0) + (1.0 if self.parted else 3.0)
+                check.told(self.now, self.marks[f"{index}"], 3)
+
+    @precondition(lambda self: not self.parted)
+    @rule(older=st.booleans())
+    def replaced(self, older: bool) -> None:
+        self.here = self.old if older and self.old <= self.here else 0.0
+        self.marks = {key: 0.0 for key in self.marks}
+        self.changed, self.whole = self.now, False
+
+    @rule()
+    def keep_a_copy(self) -> None:
+        self.old = self.here
+
+    @precondition(lambda self: not self.parted)
+    @rule()
+    def part(self) -> None:
+        self.parted, self.there, self.changed, self.whole = True, self.here, self.now, False
+
+    @precondition(lambda self: self.parted)
+    @rule()
+    def heal(self) -> None:
+        """This side's copy outlives; what the others told of meanwhile is gone with theirs."""
+        self.parted, self.changed = False, self.now
+
+    @invariant()
+    def the_truth_lies_between(self) -> None:
+        seen = self.whole and all(c.state is not State.PARTED and not c.replaced for c in self.witness.checks)
+        least, most = self.books.bounds(self.now, PLAN, seen)
+        assert least - 1e-6 <= self.used
+        if self.whole or self.now - self.changed > 4 * CHECKS * PERIOD:
+            assert self.used <= most + 1e-6 + self.unreported
+
+    @invariant()
+    def a_change_is_known_in_time(self) -> None:
+        if self.now - self.changed > 4 * CHECKS * PERIOD and self.parted:
+            assert self.witness.share(self.now) == pytest.approx(1 / 3)
+            CAME_ABOUT["parted, known"] += 1
+        if self.now - self.changed > 4 * CHECKS * PERIOD and not self.parted:
+            assert self.witness.share(self.now) == 1.0
+            CAME_ABOUT["healed, known"] += self.witness.checks[0].parted_at > 1e17 and not self.whole
+        CAME_ABOUT["replaced, seen by a check"] += any(c.replaced for c in self.witness.checks)
+        CAME_ABOUT["in doubt"] += self.books.doubt > 0
+
+
+def test_the_books_hold_for_any_order_and_all_that_they_are_for_came_about() -> None:
+    CAME_ABOUT.clear()
+    run_state_machine_as_test(
+        Books, settings=settings(max_examples=150, stateful_step_count=40, deadline=None))
+    missing = [what for what in ("told again", "replaced, seen by the books", "replaced, seen by a check",
+                                 "parted, known", "healed, known", "in doubt") if not CAME_ABOUT[what]]
+    assert not missing, missing
+
+
+# Checks
+
+def checks(gateways: int, steps: list[float]) -> Witness:
+    """A witness of which each step is what all gateways together added to the check that is due."""
+    witness, totals, now = Witness(gateways), dict[int, float](), 100.0
+    for grown in steps:
+        now += witness.period
+        for name in witness.calls(now):
+            check = witness.find(name)
+            assert check is not None
+            totals[check.number] = 0.0 if grown < 0 else totals.get(check.number, 40.0) + grown
+            check.told(now + 0.001, totals[check.number], gateways)
+    return witness
+
+
+def test_a_split_is_seen_by_the_careful_at_once_and_by_others_when_it_lasts() -> None:
+    sound = checks(3, [3.0] * 16)
+    assert sound.share(200.0) == 1.0 and {c.state for c in sound.checks} == {State.SOUND}
+    parted = checks(3, [3.0] * 16 + [1.0] * CHECKS)
+    assert parted.share(110.0) == pytest.approx(1 / 3)
+    assert parted.share(110.0, 3.0) == 1.0  # it may be a restart
+    lasting = checks(3, [3.0] * 16 + [2.0] * 8)
+    assert lasting.share(200.0, 3.0) == pytest.approx(2 / 3)
+
+
+def test_one_addition_that_crosses_another_is_no_split() -> None:
+    assert checks(3, [3.0] * 8 + [2.0, 3.0, 4.0, 3.0]).share(200.0, 3.0) == 1.0
+    assert checks(3, [3.0] * 8 + [2.0]).share(104.0) == 1.0
+
+
+def test_a_check_that_begins_anew_tells_of_a_replacement() -> None:
+    witness = checks(3, [3.0] * 4 + [-1.0] + [3.0] * 4)
+    assert sum(c.replaced for c in witness.checks) == 1
+    assert 102.0 < witness.replaced_at() < 103.0
+
+
+def test_many_gateways_check_more_rarely_and_one_does_not() -> None:
+    assert Witness(2).period == PERIOD
+    assert 1000 / Witness(1000).period <= 24.1  # calls a second, all together
+    assert Witness(1).calls(5.0) == []
+
+
+def test_a_check_without_an_answer_counts_anew() -> None:
+    witness = checks(3, [3.0] * 8)
+    check = witness.checks[0]
+    check.call(110.0)
+    check.failed(slow=True)
+    assert check.state is State.SLOW
+    check.call(111.0)
+    check.told(111.0, 500.0, 3)  # growth over a gap tells nothing
+    assert witness.share(111.0) == 1.0 and check.state is State.SLOW
+
+
+# The store
+
+def test_a_part_of_the_store_is_all_that_may_be_given_and_growing_back_gives_nothing() -> None:
+    known = Known(PLAN, 0.0, False)
+    known.reset(0.0, 6.0)
+    known.part(0.0, 0.5)
+    assert known.level(0.0) == 3.0 and known.level(1.0) == 4.0 and known.level(10.0) == 4.0
+    known.part(1.0, 1.0)
+    assert known.level(1.0) == 4.0 and known.level(2.0) == 6.0
+
+
+def test_the_even_part_of_what_was_left() -> None:
+    known = Known(PLAN, 0.0, False)
+    known.reset(0.0, 6.0)
+    known.take(0.0, 1.0)
+    assert known.even(0.0, 2) == 2.0 and known.even(1.0, 2) == 3.0 and known.even(50.0, 2) == 3.0
+
+
+# In the module
+
+def playing() -> Play:
+    """A play whose customer has just begun a name, with a counter that is asked whenever there is cause."""
+    play = Play(COUNTING)
+    play.now = names.name(names.number("c"), 500.0)[1] + 1.0
+    play.gateway.ask_share = 1.0
+    return play
+
+
+def ask_until(play: Play, **changes: object) -> Count:
+    """Requests, each answered at once, until the customer's count is asked; the call."""
+    for _ in range(50):
+        for action in play.ask(0.01, **changes):
+            if isinstance(action, Count) and action.name in play.gateway.asked:
+                return action
+        for sent in sends(play.actions[-1:]):
+            play.end(sent, Outcome.OK, 0.0)
+    raise AssertionError("no question")
+
+
+def test_a_late_total_is_used_if_nothing_was_asked_since() -> None:
+    play = playing()
+    call = ask_until(play, spread=3)
+    play.at(0.05, CounterReply(call.name, Outcome.TIMEOUT, 0.0, 0.05))
+    known = play.gateway.customers["c"].elsewhere
+    assert not known.fresh(play.now)
+    play.at(0.1, CounterReply(call.name, Outcome.OK, call.add + 5.0, 0.15))
+    assert known.fresh(play.now) and play.gateway.witness.late == 1
+    assert known.level(play.now) == pytest.approx(8.0 - 5.0, abs=call.add + 0.5)
+    before = known.level(play.now)
+    play.at(0.0, CounterReply(call.name, Outcome.OK, 500.0, 0.16))  # told once more: not believed
+    assert known.level(play.now) == before
+
+
+def test_an_answer_to_an_older_call_is_not_taken_for_the_one_that_is_out() -> None:
+    play = playing()
+    call = ask_until(play, spread=3)
+    play.at(0.05, CounterReply(call.name, Outcome.TIMEOUT, 0.0, 0.05))
+    play.now += 1.0
+    play.gateway.ask_share = 1.0
+    second = ask_until(play, spread=3)
+    assert second.name == call.name
+    play.at(0.01, CounterReply(call.name, Outcome.OK, 70.0, 1.2))  # of the old incarnation
+    assert second.name in play.gateway.asked and not play.gateway.customers["c"].account.replaced
+    play.at(0.0, CounterReply(call.name, Outcome.OK, 3.0, 0.01))
+    assert second.name not in play.gateway.asked
+
+
+def test_a_name_is_read_once_more_after_all_have_left_it() -> None:
+    play = playing()
+    first = ask_until(play, spread=3)
+    play.at(0.001, CounterReply(first.name, Outcome.OK, first.add, 0.001))
+    number = play.gateway.customers["c"].number
+    _, start = names.name(number, play.now)
+    play.now = start + names.EPOCH + 0.1
+    play.gateway.customers["c"].slice.level = 0.0
+    last = ask_until(play, spread=3)
+    assert last.name == first.name and last.add == 0.0
+    answer = play.at(0.001, CounterReply(last.name, Outcome.OK, first.add + 4.0, 0.001))
+    assert play.gateway.customers["c"].elsewhere.fresh(play.now)
+    [following] = [a for a in answer if isinstance(a, Count)]  # the request still waits, for the new one
+    assert following.name == names.name(number, play.now)[0] != first.name
+    assert not sends(answer) and play.gateway.customers["c"].held
+
+
+def test_checks_are_added_to_at_an_even_pace_and_only_with_a_counter() -> None:
+    play = Play(COUNTING)
+    for _ in range(40):
+        play.at(0.25, Timer(0))
+        for action in [a for a in play.actions if isinstance(a, Count)][-1:]:
+            play.at(0.0, CounterReply(action.name, Outcome.OK, 1.0, 0.0))
+    assert len([a for a in play.actions if isinstance(a, Count)]) == pytest.approx(10 / PERIOD, abs=1)
+    assert not [a for a in Play().at(0.25, Timer(0)) if isinstance(a, Count)]
