Checks keep an even pace of their own, and say what they see; the lab's counter can part

Need: check counts were added to at the module's tick, which drifts, so that additions of other ingresses could cross them; what the evidence says could be read nowhere; and the lab's counter could not be split, set back, flap or lose a part.

Change: checks have a timer of their own that does not drift; a change of a check's state is logged; SIGUSR1's counts have a block `quota`. The lab has counter_split, counter_older, counter_flap and counter_part, counts that they came about, and the scenario `counters` plays them with an ingress killed during the split; its test fails if a split or a replacement was not seen.

--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -45,8 +45,9 @@
         self.clock = clock = clock or unix_clock()
         self.loop = asyncio.get_running_loop()
         wheel = Wheel(self.loop, clock)
-        self.exchange = exchange = Exchange(Gateway(settings, config.seed), settings, clock, wheel,
-                                            config.most_open, config.most_held)
+        self.gateway = Gateway(settings, config.seed)
+        self.exchange = exchange = Exchange(self.gateway, settings, clock, wheel, config.most_open,
+                                            config.most_held)
         self.backends: Back
         if self.translator is not None:
             self.backends = self.translator.back(clock, exchange.ended, wheel)
@@ -100,6 +101,8 @@
             "malformed": sum(listener.bad for listener in self.listeners),
             "front_faults": sum(listener.faults for listener in self.listeners),
             "clients": sum(len(listener.connections) for listener in self.listeners)}
+        if self.counter is not None:
+            counts["quota"] = self.gateway.evidence(self.clock())
         return counts | (self.translator.counts() if self.translator is not None else {})
 
     def _watch(self) -> None:
--- a/mulleinhall/lab/report.py
+++ b/mulleinhall/lab/report.py
@@ -37,6 +37,7 @@
         "asked_per_s": round(len(world.customers.asked) / scenario.seconds, 1),
         "behind_s": round(world.customers.behind, 3),
         "client_connections": world.customers.most_lines, "counter_calls": world.counter.calls,
+        "counter_seen": world.counter.seen,
         "faults": [f"{at:.1f} s: {text.partition(': ')[2]}" for at, text in world.faults_done],
         "held_back": {"in_a_try": held[0], "between_tries": held[1]}, "counts": world.counts,
         "pairs": pairs(world.record), "fell_over": [s.name for s in world.servers if s.fell],
--- a/mulleinhall/lab/world.py
+++ b/mulleinhall/lab/world.py
@@ -82,10 +82,10 @@
         """Starts the stand-ins, then the ingresses.  Raises CantStart or OSError."""
         self.roster = Roster(self.agents, self.deployment.notice, self.rng)
         wanted = {f.target for f in self.scenario.faults if ">" in f.target}
-        counter = await self.counter.open()
+        counter = await self.counter.open(len(self.agents))
         for n, agent in enumerate(self.agents):
             await self._lead(f"ingress-{n}>list", await agent.open(), wanted)
-            await self._lead(f"ingress-{n}>counter", counter, wanted)
+            await self._lead(f"ingress-{n}>counter", counter[n], wanted)
         for server in self.servers:
             await self._listen(server, wanted)
             self._tell(server, "ready", 0.0, at_once=True)
@@ -261,7 +261,7 @@
             case "shift":
                 self.customers.shift(fault.figures["share"])
             case _:
-                await self._strike_counter(fault.kind, seconds, fault.figures.get("ms", 0.0) / 1000)
+                await self._strike_counter(fault)
 
     async def _strike_ingress(self, kind: str, ingress: Ingress, seconds: float) -> None:
         process, life, door = ingress.process, ingress.life, self.customers.doors[ingress.number]
@@ -333,19 +333,34 @@
             agent.late = 0.0
             agent.strike("")
 
-    async def _strike_counter(self, kind: str, seconds: float, extra: float) -> None:
-        counter = self.counter
-        if kind == "counter_empty":
-            counter.totals.clear()
-            return
-        if kind == "counter_lost":
-            counter.lose()
-        elif kind == "counter_slow":
-            counter.extra = extra
-        else:
-            counter.mode = kind.removeprefix("counter_")
-        await asyncio.sleep(seconds)
-        counter.mode, counter.extra = "", 0.0
+    async def _strike_counter(self, fault: Fault) -> None:
+        counter, seconds = self.counter, fault.figures.get("seconds", 0.0)
+        match fault.kind:
+            case "counter_empty" | "counter_older":
+                counter.replace(fault.figures.get("back"))
+            case "counter_split":
+                counter.split()
+                await asyncio.sleep(seconds)
+                counter.heal()
+            case "counter_flap":
+                end = self.loop.time() + seconds
+                while (left := end - self.loop.time()) > 0:
+                    counter.lose()
+                    await asyncio.sleep(min(1.0, left))
+                    counter.mode = ""
+                    await asyncio.sleep(min(1.0, max(0.0, end - self.loop.time())))
+            case "counter_lost":
+                counter.lose()
+                await asyncio.sleep(seconds)
+                counter.mode = ""
+            case "counter_slow":
+                counter.extra = fault.figures["ms"] / 1000
+                await asyncio.sleep(seconds)
+                counter.extra = 0.0
+            case _:
+                counter.mode = fault.kind.removeprefix("counter_")
+                await asyncio.sleep(seconds)
+                counter.mode = ""
 
 
 @asynccontextmanager
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -52,6 +52,7 @@
 CROSS_ZONE: Final = 1.1  # a backend of another zone counts as this much busier: a tie-break
 TICK: Final = 0  # timer tokens
 DISCOVERY: Final = 1
+CHECK: Final = 2
 
 
 class Bucket:
@@ -511,6 +512,18 @@
         self.untold: dict[str, Customer] = {}  # customers with use that the counter was not told
         self.actions: list[api.Action] = []
 
+    def evidence(self, now: float) -> dict[str, object]:
+        """What is known of the counter, for those who watch: names that stay as they are."""
+        known = self.customers.values()
+        return {
+            "checks": [{"state": c.state.value, "members": round(c.members, 2), "parted": c.parted,
+                        "replaced": c.replaced}
+                       for c in self.witness.checks],
+            "share": round(self.witness.share(now), 3), "asked_share": round(self.ask_share, 3),
+            "replaced": sum(c.account.replaced for c in known),
+            "unreached": sum(c.pause > 0 for c in known), "untold": len(self.untold),
+            "late": self.witness.late, "customers": len(self.customers)}
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.actions = []
         if self.born is None:
@@ -519,6 +532,8 @@
             self.actions.append(api.SetTimer(self.period * self.rng.random(), TICK))
             if self.settings.ask_discovery:
                 self.actions.append(api.Subscribe())
+            if self.counting and self.settings.gateways > 1:
+                self.actions.append(api.SetTimer(self.witness.period * self.rng.random(), CHECK))
         match event:
             case api.Request():
                 self._request(now, event)
@@ -539,6 +554,8 @@
             case api.Timer(token=token):
                 if token == TICK:
                     self._tick(now)
+                elif token == CHECK:
+                    self._check(now)
                 elif token == DISCOVERY:
                     self.asking = False
                     self.actions.append(api.Subscribe())
@@ -849,13 +866,25 @@
             known.told(now, account.answered(now, 0.0, event.total, slack, known.rate * (now - known.at)))
             customer.unreported += account.untold
 
+    def _check(self, now: float) -> None:
+        calls, wait = self.witness.calls(now)
+        self.actions += [api.Count(name, 1.0, names.LIFE) for name in calls]
+        self.actions.append(api.SetTimer(wait, CHECK))
+
     def _checked(self, now: float, event: api.CounterReply, check: Check) -> None:
         if not check.out or now - event.latency < check.made - self.settings.tick:
             return  # it was given up, and counts anew
+        state, replaced = check.state, check.replaced
         if event.outcome is api.Outcome.OK:
             check.told(now, event.total, self.settings.gateways)
         else:
             check.failed(event.outcome is api.Outcome.TIMEOUT)
+        who = f"counter: check {self.witness.checks.index(check)}"
+        if check.replaced > replaced:
+            self.actions.append(api.Log(f"{who} began anew"))
+        if check.state is not state:
+            seen = f"{check.members:.1f} of {self.settings.gateways} gateways seen"
+            self.actions.append(api.Log(f"{who} {check.state.value}, {seen}"))
 
     def _part(self, now: float, customer: Customer) -> None:
         """What this gateway may give out of a store of which others may give out the rest unseen: the careful
@@ -874,8 +903,6 @@
             self.late.clear()
             for name in [k for k, c in self.customers.items() if c.idle(now)]:
                 self.by_hash.pop(self.customers.pop(name).hash, None)
-        if self.counting:
-            self.actions += [api.Count(name, 1.0, names.LIFE) for name in self.witness.calls(now)]
         self._tell(now)
         if not self.counting and self.settings.peers:
             text = str(self.life)
--- a/mulleinhall/quota/witness.py
+++ b/mulleinhall/quota/witness.py
@@ -42,7 +42,7 @@
         self.members = 0.0  # that add where this one does; 0 while that is not known
         self.latest = 0.0  # the same by the last two totals alone: sooner, and less sure
         self.replaced_at, self.parted_at = -1e18, 1e18
-        self.replaced, self.state = 0, State.UNKNOWN
+        self.replaced, self.parted, self.state = 0, 0, State.UNKNOWN
 
     def call(self, now: float) -> int:
         """The name to add 1 to."""
@@ -72,6 +72,7 @@
             if grown > gateways - MISSING:
                 self.state, self.parted_at = State.SOUND, 1e18
             else:
+                self.parted += self.state is not State.PARTED
                 self.state, self.parted_at = State.PARTED, min(now, self.parted_at)
 
 
@@ -82,17 +83,16 @@
         self.gateways = gateways
         self.checks = [Check(f"check {n}") for n in range(CHECKS)]
         self.period = PERIOD * max(1.0, gateways / CROWD)
-        self.next, self.due = 0, -1e18
+        self.next, self.due = 0, -1e18  # the check whose turn it is, and when
         self.late = 0  # totals that came late and were of use
 
-    def calls(self, now: float) -> list[int]:
-        """The names to add 1 to now: one, or none."""
-        if self.gateways < 2 or now < self.due:
-            return []
+    def calls(self, now: float) -> tuple[list[int], float]:
+        """The names to add 1 to now, one or none, and how long to wait for the next.  Guards the even pace:
+        one that was late does not make those after it late, or additions of others would cross them."""
+        self.due = self.due + self.period if now < self.due + self.period else now + self.period
         check = self.checks[self.next]
-        self.due = max(self.due + self.period, now + self.period / 2)
         self.next = (self.next + 1) % CHECKS
-        return [] if check.out else [check.call(now)]
+        return [] if check.out else [check.call(now)], max(0.0, self.due - now)
 
     def find(self, name: int) -> Check | None:
         for check in self.checks:
--- a/tests/test_lab_scenarios.py
+++ b/tests/test_lab_scenarios.py
@@ -104,6 +104,12 @@
         assert figures["held_back"]["in_a_try"] > 0
         assert name == "matrix" or figures["held_back"]["between_tries"] > 0
         assert any(counts.get("holds", {}).get("held-back") for counts in figures["counts"])
+    if name == "counters":
+        # The trouble came about, at the counter and as each ingress saw it.
+        seen = figures["counter_seen"]
+        assert min(seen["split"]) > 20 and seen["replaced"] == 1 and seen["part"] > 0, seen
+        checks = [check for counts in figures["counts"] for check in counts["quota"]["checks"]]
+        assert any(check["parted"] for check in checks) and any(check["replaced"] for check in checks), checks
     assert all(figures["cpu_us_per_request"]) and all(figures["rss_mb"])
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -257,6 +257,7 @@
 
 def test_the_first_total_holds_the_units_of_the_request_that_waits() -> None:
     play = Play(replace(COUNTING, plans=(replace(BASIC, rate=0.001, burst=1.0),)))
+    play.gateway.ask_share = 1.0
     play.ask()
     call = counts(play)[-1]
     assert len(sends(play.at(0.001, CounterReply(call.name, Outcome.OK, 1.0)))) == 1
--- a/tests/test_quota_evidence.py
+++ b/tests/test_quota_evidence.py
@@ -16,7 +16,8 @@
     run_state_machine_as_test,
 )
 
-from mulleinhall.interface import Count, CounterReply, Outcome, Plan, Timer
+from mulleinhall.interface import Count, CounterReply, Outcome, Plan, SetTimer, Timer
+from mulleinhall.logic import CHECK
 from mulleinhall.quota import names
 from mulleinhall.quota.evidence import Account, Known
 from mulleinhall.quota.witness import CHECKS, PERIOD, State, Witness
@@ -131,8 +132,9 @@
             self.level = min(PLAN.burst, self.level + PLAN.rate * 0.25)
             if self.now + 1e-9 < self.due:
                 continue
-            self.due = self.now + PERIOD
-            for name in self.witness.calls(self.now):
+            names, wait = self.witness.calls(self.now)
+            self.due = self.now + wait
+            for name in names:
                 check = self.witness.find(name)
                 assert check is not None
                 index = self.witness.checks.index(check)
@@ -197,7 +199,7 @@
     witness, totals, now = Witness(gateways), dict[int, float](), 100.0
     for grown in steps:
         now += witness.period
-        for name in witness.calls(now):
+        for name in witness.calls(now)[0]:
             check = witness.find(name)
             assert check is not None
             totals[check.number] = 0.0 if grown < 0 else totals.get(check.number, 40.0) + grown
@@ -229,7 +231,15 @@
 def test_many_gateways_check_more_rarely_and_one_does_not() -> None:
     assert Witness(2).period == PERIOD
     assert 1000 / Witness(1000).period <= 24.1  # calls a second, all together
-    assert Witness(1).calls(5.0) == []
+    alone = Play(replace(COUNTING, gateways=1))
+    assert not [a for a in alone.actions if isinstance(a, SetTimer) and a.token == CHECK]
+
+
+def test_a_check_that_came_late_does_not_make_the_next_ones_late() -> None:
+    witness = Witness(3)
+    assert witness.calls(100.0)[1] == pytest.approx(PERIOD)
+    assert witness.calls(100.0 + PERIOD + 0.1)[1] == pytest.approx(PERIOD - 0.1)
+    assert witness.calls(200.0)[1] == pytest.approx(PERIOD)  # after a pause: not all those that were missed
 
 
 def test_a_check_without_an_answer_counts_anew() -> None:
@@ -329,9 +339,10 @@
 
 def test_checks_are_added_to_at_an_even_pace_and_only_with_a_counter() -> None:
     play = Play(COUNTING)
-    for _ in range(40):
-        play.at(0.25, Timer(0))
-        for action in [a for a in play.actions if isinstance(a, Count)][-1:]:
-            play.at(0.0, CounterReply(action.name, Outcome.OK, 1.0, 0.0))
-    assert len([a for a in play.actions if isinstance(a, Count)]) == pytest.approx(10 / PERIOD, abs=1)
-    assert not [a for a in Play().at(0.25, Timer(0)) if isinstance(a, Count)]
+    for _ in range(20):
+        [wait] = [a.delay for a in play.actions if isinstance(a, SetTimer) and a.token == CHECK][-1:]
+        for call in [a for a in play.at(wait, Timer(CHECK)) if isinstance(a, Count)]:
+            play.at(0.0, CounterReply(call.name, Outcome.OK, 3.0 * len(play.actions), 0.0))
+    assert len([a for a in play.actions if isinstance(a, Count)]) == 20
+    assert 100.0 + 19 * PERIOD <= play.now <= 100.0 + 20 * PERIOD
+    assert not [a for a in Play().actions if isinstance(a, SetTimer) and a.token == CHECK]
