--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -753,7 +753,7 @@
         name, start = names.name(customer.number, now)
         account = customer.account
         customer.asked_at, add = now, customer.unreported
-        if name != account.name and account.unread(now):
+        if name != account.name and account.unread(now, customer.elsewhere.life):
             # Danger: what others added to a name after it was last read would never be known.  All leave it
             # at one moment: it is read once more after that, and nothing is added.
             account.closed, name, add = True, account.name, 0.0
--- a/mulleinhall/quota/evidence.py
+++ b/mulleinhall/quota/evidence.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from mulleinhall.interface import Plan
-from mulleinhall.quota.names import LIFE
+from mulleinhall.quota.names import EPOCH
 
 FRESH: Final = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
 NEVER: Final = -1e18
@@ -34,9 +34,11 @@
         self.told_at = NEVER  # when a total last came
         self.replaced, self.closed = 0, False
 
-    def unread(self, now: float) -> bool:
-        """Whether others may have added to this name after the last total, and it still lives."""
-        return not self.closed and self.told_at > NEVER and now < self.start + LIFE - MARGIN
+    def unread(self, now: float, life: float) -> bool:
+        """Whether what others may have added after the last total is worth a call: totals were heard, and
+        believed for `life` seconds, up to when all left the name; and it still lives."""
+        left = self.start + EPOCH
+        return not self.closed and self.told_at > left - life and now < left + EPOCH - MARGIN
 
     def unanswered(self, added: float) -> None:
         """A call had no answer in time: most likely it is still worked on and will be added."""
