A call without an answer is told again only on proof, and questions come back sooner after the start

A call that timed out is added late as a rule; the guess that it had not been, by what others usually use, told it again, which loaded the slow counter more, and counted it twice. And fewer tellings in a crowd left the share of questions low for seconds after the start, where the counter turns all calls away.

Change: told again is only what a total proves not to have been added; tellings and checks that are answered quickly raise the share of questions; at least 4 customers are told of at a tick, and what is told has to be at most twice as large in a crowd.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -26,8 +26,9 @@
 ASK_LESS: Final = 0.3  # of the questions: fewer after one that failed; a quick answer brings back 1/8 of it
 LOST_PAUSE: Final = 0.5  # s without a question about a customer whose count can't be reached; then twice that
 MOST_PAUSE: Final = 1.0  # s, the longest such pause
-TOLD_AT_ONCE: Final = 40  # customers whose use is told at a tick of a counter that is not crowded
-RARER: Final = 3.0  # of the least that is told: so much more it has to be where the counter is most crowded
+TOLD_AT_LEAST: Final = 4  # at a tick of one that is: its answers tell when that is over
+TOLD_AT_ONCE: Final = 24  # customers whose use is told at a tick of a counter that is not crowded
+RARER: Final = 1.0  # of the least that is told: so much more it has to be where the counter is most crowded
 LEAST_ASKED: Final = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
 QUICK: Final = 0.25  # of the time-out: a counter that answers sooner can take more
 IDLE: Final = 60.0  # s: a customer unseen this long is dropped if its buckets are full
@@ -794,14 +795,12 @@
                 self.untold[customer.key] = customer
         else:
             self.answered_at, customer.pause = now, 0.0
-            if event.latency < QUICK * self.settings.counter_timeout:
-                self.ask_share = min(1.0, self.ask_share + ASK_LESS / 8)
+            self._quick(event)
             customer.unreported -= added
             first = known.told_at <= NEVER
             lost, before, new_at = account.replaced, account.others, self.witness.replaced_at()
             suspect = new_at > max(account.told_at, account.start)  # it may be another count than before
-            usual = known.rate * (now - known.at)
-            used = account.answered(now, added, event.total, 0.0 if suspect else self._slack(customer), usual)
+            used = account.answered(now, added, event.total, 0.0 if suspect else self._slack(customer))
             customer.unreported += account.untold
             level = plan.burst + plan.rate * (now - account.start) - (
                 event.total + account.lost + customer.unreported - sum(job.units for job in customer.held))
@@ -811,7 +810,7 @@
                 if suspect and not customer.thin:  # what was used before it is not in the total
                     level = min(level, customer.slice.level + plan.rate * (now - new_at))
                 known.reset(now, level)
-            elif account.replaced > lost or (suspect and used < usual):
+            elif account.replaced > lost or (suspect and used < known.rate * (now - known.at)):
                 known.unheard(now)
             else:
                 known.told(now, used)
@@ -830,6 +829,10 @@
         for job in held:
             self._decide(now, job)
 
+    def _quick(self, event: api.CounterReply) -> None:
+        if event.latency < QUICK * self.settings.counter_timeout:
+            self.ask_share = min(1.0, self.ask_share + ASK_LESS / 8)
+
     def _tell(self, now: float) -> None:
         """Tells of use that no question told of.  Danger: hundreds that tell all they have once a counter is
         back would jam it anew: the more it is crowded, the less is told at a time, those longest unheard
@@ -841,7 +844,7 @@
                if abs(c.unreported) > (1 if c.plan.ceiling_rate else 1 + RARER * crowded) * c.plan.burst / 8
                and c.asked_at <= NEVER]
         due.sort(key=lambda c: c.account.told_at)
-        left = max(1, int(TOLD_AT_ONCE * self.ask_share))
+        left = max(TOLD_AT_LEAST, int(TOLD_AT_ONCE * self.ask_share))
         for customer in due:
             # One whose count could not be reached stands for the others of which that is so.
             left -= TOLD_AT_ONCE // 2 if customer.pause else 1
@@ -862,8 +865,7 @@
         account = customer.account
         if account.name == event.name and account.told_at < made and customer.asked_at <= NEVER:
             self.witness.late += 1
-            known, slack = customer.elsewhere, self._slack(customer)
-            known.told(now, account.answered(now, 0.0, event.total, slack, known.rate * (now - known.at)))
+            customer.elsewhere.told(now, account.answered(now, 0.0, event.total, self._slack(customer)))
             customer.unreported += account.untold
 
     def _check(self, now: float) -> None:
@@ -877,6 +879,7 @@
         state, replaced = check.state, check.replaced
         if event.outcome is api.Outcome.OK:
             check.told(now, event.total, self.settings.gateways)
+            self._quick(event)
         else:
             check.failed(event.outcome is api.Outcome.TIMEOUT)
         who = f"counter: check {self.witness.checks.index(check)}"
--- a/mulleinhall/quota/evidence.py
+++ b/mulleinhall/quota/evidence.py
@@ -45,10 +45,11 @@
         self.mine += added
         self.doubt += max(0.0, added)
 
-    def answered(self, now: float, added: float, total: float, slack: float, expected: float) -> float:
-        """A total that holds `added`; the units that others used since the last one, of which `expected` are
-        usual.  Below what was known by more than `slack`, which others may have given back, the count was
-        replaced.  `untold` is then what was in doubt and is not in the total, by the nearer of both cases."""
+    def answered(self, now: float, added: float, total: float, slack: float) -> float:
+        """A total that holds `added`; the units that others used since the last one.  Below what was known by
+        more than `slack`, which others may have given back, the count was replaced.  `untold` is then the
+        part of what was in doubt that is not in the total for certain.  Danger: a call without an answer is
+        added late as a rule; telling it again on a guess loads a slow counter, and refuses what has room."""
         self.mine += added
         self.untold = 0.0
         others = total + self.lost - self.mine
@@ -56,9 +57,9 @@
             self.replaced += 1
             self.lost += self.others - others
             others = self.others
-        elif self.doubt and others - self.others + self.doubt / 2 < expected:
-            self.mine, self.untold = self.mine - self.doubt, self.doubt
-            others += self.doubt
+        elif self.doubt and others < self.others:
+            self.untold = min(self.doubt, self.others - others)
+            self.mine, others = self.mine - self.untold, others + self.untold
         used, self.others = others - self.others, others
         self.guessed += self.doubt
         self.doubt, self.told_at = 0.0, now
