--- a/mulleinhall/quota/evidence.py
+++ b/mulleinhall/quota/evidence.py
@@ -1,8 +1,4 @@
-"""Evidence on one customer: what was added here, what totals came back, and the store that follows from both.
-
-`Account` keeps one name's books; `Known` keeps the whole store as an interval: its middle is what is most
-likely left, its careful end what is left if the worst that the evidence allows has happened.
-"""
+"""Evidence on one customer: what was added here, what totals came back, and the store that follows from both."""
 
 from __future__ import annotations
 
--- a/mulleinhall/quota/witness.py
+++ b/mulleinhall/quota/witness.py
@@ -95,10 +95,7 @@
         return [] if check.out else [check.call(now)], max(0.0, self.due - now)
 
     def find(self, name: int) -> Check | None:
-        for check in self.checks:
-            if check.name == name:
-                return check
-        return None
+        return next((check for check in self.checks if check.name == name), None)
 
     def share(self, now: float, patience: float = 0.0) -> float:
         """The least share of the gateways that add where one of the checks does, and has done for `patience`
