--- a/mulleinhall/quota/evidence.py
+++ b/mulleinhall/quota/evidence.py
@@ -1,4 +1,4 @@
-"""Evidence on one customer: what was added here, what totals came back, and the store that follows from both."""
+"""Evidence on one customer: what was added here, what totals came back, and the store that follows."""
 
 from __future__ import annotations
 
