--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import mulleinhall.interface as api
@@ -18,6 +19,7 @@
 from mulleinhall.platform.counter import Counter
 from mulleinhall.platform.discovery import Discovery, Listing
 from mulleinhall.platform.drain import drain
+from mulleinhall.platform.pace import Pace
 from mulleinhall.resp.back import RespWire
 from mulleinhall.resp.front import make_talk
 from mulleinhall.transport.listener import Clients
@@ -106,10 +108,13 @@
         return counts | (self.translator.counts() if self.translator is not None else {})
 
     def _watch(self) -> None:
-        """A new watch on discovery, from a whole list; the old one ends."""
+        """A watch on discovery.  At the start it goes on from the list that came with the configuration; one
+        that was moved elsewhere begins with a whole list, and the old one ends."""
+        known = self.config.known.version if self.watch is None and self.config.known.backends else None
         if self.watch is not None:
             self.watch.cancel()
-        self.watch = self.loop.create_task(Discovery(self.config.discovery, self.listed).run())
+        discovery = Discovery(self.config.discovery, self.listed, Pace(Random(self.config.seed)), known)
+        self.watch = self.loop.create_task(discovery.run())
 
     def reload(self, config: Config) -> None:
         """The configuration was replaced: discovery and counter may be elsewhere.  What is not told here
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -40,7 +40,7 @@
 SPARE: Final = 0.55  # of what the backends may hold: past it the least worth goes first
 CALM: Final = 0.2  # of the aim: attempts out this long on the mean begin, and end, to be shed
 JAM: Final = 0.45
-RECENT: Final = 3.0  # s over which the mean time out is taken: some answers at one gateway of hundreds
+RECENT: Final = (3.0, 1.0)  # s over which the mean time out is taken: some answers at one gateway of hundreds
 SUBSET: Final = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
 RETRY_SHARE: Final = 0.15  # further attempts for each first one, on the mean
 COLD_MARGIN: Final = 0.7  # of what a cold backend bears, all gateways together
@@ -212,6 +212,7 @@
         self.limit = limit
         self.cut_at, self.was_cut = now, False
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
+        self.turned = 0  # how many it turned away in a row
         self.budget = Bucket(0.0, 1.0, level, now)
 
     def put_limit(self, limit: float) -> None:
@@ -250,13 +251,17 @@
         """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused and broken
         connections at the first sign, errors and time-outs when they come in a row; each further
         failure doubles the pause, and one attempt then tries it again."""
-        if outcome is api.Outcome.FULL:
-            if self.wait >= BUSY:  # else it answers others quickly: it is about this request, not its load
-                self.cut(now, 0.0)
-                self.retry_at = max(self.retry_at, now + patience / 4)
+        if outcome is api.Outcome.FULL and self.wait >= BUSY:
+            self.cut(now, 0.0)
+            self.retry_at = max(self.retry_at, now + patience / 4)
+            return
+        # Danger: one that leaves, of which a late list tells nothing, turns all away at once and looks idle.
+        # A single one it turns away tells of that request, not of its load: it answers others quickly.
+        self.turned = self.turned + 1 if outcome is api.Outcome.FULL else 0
+        if self.turned == 1:
             return
         self.failures += 1
-        self.unreachable = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
+        self.unreachable = outcome.never_ran or outcome is api.Outcome.RESET
         row = self.failures - (0 if self.unreachable else FAILURE_ROW - 1)
         if row > 0:
             self.retry_at = now + patience / 2 * 2.0 ** min(row - 1, 4)
@@ -295,7 +300,9 @@
         self.totals = Totals()
         self.warm, self.warm_till = 0.0, -1e18  # weight of the warm backends, and until when that holds
         self.weight = 0.0  # of all backends present
-        self.area, self.sends, self.wait_at = BUSY, 1.0, -1e18
+        self.wait_at = -1e18
+        # Over each span, s: attempts out, in aims, times seconds, and sends.
+        self.recent = {span: [BUSY, 1.0] for span in RECENT}
 
     def change(self, event: api.BackendsChanged, now: float) -> None:
         if event.kind is api.ListKind.UNAVAILABLE:
@@ -396,9 +403,10 @@
     def wait(self, now: float) -> float:
         """The mean time attempts stay out, in aims, by Little's law: the mean number out over the rate of
         sends.  Tells of a jam before any answer comes, and from few attempts; forgets when nothing is sent.
-        An attempt counts no longer than JAM: a few backends that never answer are no jam."""
+        An attempt counts no longer than JAM: a few backends that never answer are no jam.  Danger: where most
+        is shed, few sends are left to tell that a jam is over; it has to have been, and still to be."""
         if now == self.wait_at:
-            return self.area / self.sends  # no time has passed: nothing changes
+            return min(area / sends for area, sends in self.recent.values())  # nothing changes
         while self.held:
             first = next(iter(self.held))
             until, weight = self.held[first]
@@ -406,14 +414,21 @@
                 break
             del self.held[first]
             self.weights[weight] -= 1
-        keep = exp(-min(now - self.wait_at, 100 * RECENT) / RECENT)
         out = 0.0
         for weight, number in self.weights.items():
             out += weight * number
-        self.area = self.area * keep + (out * RECENT + BUSY) * (1 - keep)
-        self.sends = self.sends * keep + (1 - keep)
+        least = float("inf")
+        for span, recent in self.recent.items():
+            keep = exp(-min((now - self.wait_at) / span, 100.0))
+            recent[0] = recent[0] * keep + (out * span + BUSY) * (1 - keep)
+            recent[1] = recent[1] * keep + (1 - keep)
+            least = min(least, recent[0] / recent[1])
         self.wait_at = now
-        return self.area / self.sends
+        return least
+
+    def sent(self) -> None:
+        for recent in self.recent.values():
+            recent[1] += 1.0
 
     def pressure(self, now: float) -> float:
         """The share of requests to shed; below nothing there is room."""
@@ -682,7 +697,7 @@
         job.maybe.append((server, now))
         job.customer.open += 1
         self.fleet.wait(now)
-        self.fleet.sends += 1.0
+        self.fleet.sent()
         self.fleet.holds(server, (job.id, number), now, now + JAM * job.cls.aim, 1 / job.cls.aim)
         self.out[job.id, number] = job, server
         # Danger: a connection that fell silent holds its request to the end.  While another attempt may
@@ -725,7 +740,7 @@
         if event.outcome.never_ran:
             job.maybe.remove((server, sent))
         if event.outcome is api.Outcome.OK:
-            server.failures, server.unreachable = 0, False
+            server.failures, server.unreachable, server.turned = 0, False, 0
             server.answered(now, event.latency, self.fleet.mean(job.cls), job.cls.aim)
             self.fleet.note_done(now, job.cls, event.latency)
             if event.settled and job.inside:
@@ -739,12 +754,15 @@
             job.over = True
             self.jobs.pop(job.id, None)
         elif not job.out:
-            self._again(now, job)
+            self._again(now, job, event.outcome.never_ran)
 
-    def _again(self, now: float, job: Job) -> None:
-        """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room."""
-        useful = now + self.fleet.mean(job.cls) < job.deadline and self.retries.level >= 1
-        if useful and self.fleet.pressure(now) < 0 and self._send(now, job):
+    def _again(self, now: float, job: Job, never_ran: bool) -> None:
+        """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room, but for
+        one that was let in and that no backend has spent any work on."""
+        useful = now + self.fleet.mean(job.cls) < job.deadline
+        if useful and never_ran and self._send(now, job):
+            return
+        if useful and self.retries.level >= 1 and self.fleet.pressure(now) < 0 and self._send(now, job):
             self.retries.take(1.0)
         else:
             self._finish(now, job)
--- a/mulleinhall/platform/discovery.py
+++ b/mulleinhall/platform/discovery.py
@@ -12,15 +12,15 @@
 import aiohttp
 
 from mulleinhall.interface import Backend, ListKind, Readiness
+from mulleinhall.platform.pace import Pace
 
 log = logging.getLogger(__name__)
 
 # Guards against a connection to the agent that fell silent: meanwhile backends leave and come, and nothing
 # tells of it.  What is new comes at once, so a short wait costs no more than a small call now and then.
 WAIT_MS = 1_000  # of a watch
-GRACE = 0.5  # s: an agent answers at once, or once the wait is over
-ASK_TIMEOUT = 1.0  # s for a call that doesn't wait
-PAUSES = (0.05, 0.1, 0.2, 0.5, 1.0)  # s between tries while the agent is gone
+GRACE = 0.5  # s: a watch that goes on is answered at once, or once the wait is over
+TURNED_AWAY = (429, 503)  # statuses of a service that is there and has too much to do
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,43 +65,59 @@
     return Listing(version, bool(body.get("full")), tuple(backends), addresses)
 
 
+class TurnedAway(Exception):
+    """The agent has too much to do; the list that is held stands."""
+
+
+class Spoilt(Exception):
+    """What the agent says can't be put together with the list that is held."""
+
+
 class Discovery:
-    """Follows the agent for as long as `run` runs; each change goes to `told`."""
+    """Follows the agent for as long as `run` runs; each change goes to `told`.
+
+    `version`: of the list that is held already, so that one call begins the watch; None where there is none.
+    """
 
-    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None]) -> None:
+    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None], pace: Pace,
+                 version: int | None = None) -> None:
         self.url = f"http://{address[0]}:{address[1]}/api/targets"
-        self.told = told
-        self.version: int | None = None  # of the list that the agent gave; None: ask for all of it
+        self.told, self.pace = told, pace
+        self.version = version  # None: ask for the whole list
+        self.watching = False  # the last call was answered: the next one goes on with its watch
 
     async def run(self) -> None:
-        failures = 0
         connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=60.0)
         async with aiohttp.ClientSession(connector=connector) as session:
             while True:
                 try:
                     await self._ask(session)
-                    failures = 0
+                    self.watching = True
+                    self.pace.succeeded()
                 except Exception as error:
                     # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
-                    # what is done with a list: the last one is kept, tries are spaced, and the next asks for
-                    # the whole list.
-                    if failures in (0, 10, 100, 1000):
+                    # what is done with a list: the last one is kept and tries are spaced.  A call that had no
+                    # answer changes nothing: the next one asks for what is newer than the list that is held.
+                    if self.pace.failures in (0, 10, 100, 1000):
                         log.warning("discovery: %s: %s", type(error).__name__, error)
-                    self.version = None
-                    await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
-                    failures += 1
+                    if not isinstance(error, TurnedAway | OSError | aiohttp.ClientConnectionError):
+                        self.version = None
+                    self.watching = False
+                    await asyncio.sleep(self.pace.failed(isinstance(error, TurnedAway)))
 
     async def _ask(self, session: aiohttp.ClientSession) -> None:
-        query, limit = "", ASK_TIMEOUT
+        query, limit = "", GRACE if self.watching else self.pace.patience()
         if self.version is not None:
-            query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + GRACE
+            query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + limit
         async with session.get(self.url + query, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
+            if answer.status in TURNED_AWAY:
+                raise TurnedAway(f"status {answer.status}")
             if answer.status != 200:
-                raise ValueError(f"status {answer.status}")
+                raise Spoilt(f"status {answer.status}")
             listing = read_listing(json.loads(await answer.read()))
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
-            raise ValueError(f"changes of version {listing.version} for version {self.version}")
+            raise Spoilt(f"changes of version {listing.version} for version {self.version}")
         self.version = listing.version
         if listing.full:
             self.told(ListKind.REPLACE, listing)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mulleinhall.interface import Backend, BackendsChanged, ListKind, Outcome, Request
-from mulleinhall.logic import BUSY, Gateway, Server
+from mulleinhall.logic import BUSY, CALM, JAM, RECENT, Gateway, Server
 
 from .conftest import BASIC, FLEET, SETTINGS, Play, sends
 
@@ -225,3 +225,55 @@
     play.end(second)
     play.end(first)
     assert sum(weights.values()) == len(held) == 0
+
+
+def test_one_that_turns_all_away_at_once_is_left_after_the_second() -> None:
+    """It leaves, and no list told so yet: it answers quickly, holds nothing, and would draw all."""
+    play = Play(WIDE)
+    carry(play, 0.05)
+    leaving, turned = "b1", 0
+    for _ in range(60):
+        for sent in sends(play.ask(0.005)):
+            refused = sent.backend == leaving
+            turned += refused
+            again = play.end(sent, Outcome.FULL if refused else Outcome.OK, 0.001)
+            for second in sends(again):
+                turned += second.backend == leaving
+                play.end(second, Outcome.OK, 0.001, attempt=1)
+    assert turned == 2  # in 0.3 s; the next try is half a patience later
+
+
+@pytest.mark.parametrize(("outcome", "goes_on"), [
+    (Outcome.CONNECT_FAILED, True), (Outcome.FULL, True), (Outcome.TIMEOUT, False), (Outcome.ERROR, False)])
+def test_what_never_ran_goes_to_another_without_any_budget(outcome: Outcome, goes_on: bool) -> None:
+    play = Play(WIDE)
+    play.gateway.retries.level = 0.0
+    (sent,) = sends(play.ask(0.01))
+    play.gateway.retries.level = 0.0
+    again = sends(play.end(sent, outcome, 0.01))
+    assert len(again) == goes_on
+    assert all(second.backend != sent.backend for second in again)
+
+
+def test_a_jam_that_is_over_is_known_to_be_over_though_nearly_all_is_shed() -> None:
+    fleet = Play(WIDE).gateway.fleet
+    server, now = fleet.present[0], 100.0
+
+    def send(every: float, out: float, times: int) -> None:
+        nonlocal now
+        for n in range(times):
+            fleet.wait(now)
+            fleet.sent()
+            fleet.holds(server, ("r", n), now, now + out, 1.0)
+            now += out
+            fleet.wait(now)
+            now += max(0.0, every - out)
+            fleet.frees(server, ("r", n), now)
+
+    fleet.wait(now)
+    send(0.5, 0.5, 20)
+    assert fleet.wait(now) > JAM / 2 and fleet.pressure(now) > 0
+    send(0.25, 0.01, 12)  # what little is let in is answered at once
+    assert fleet.wait(now) < CALM
+    area, sends_kept = fleet.recent[RECENT[0]]
+    assert area / sends_kept > fleet.wait(now)  # the longer memory still tells of the jam
