--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -29,6 +29,7 @@
 TOLD_AT_LEAST: Final = 4  # at a tick of one that is: its answers tell when that is over
 TOLD_AT_ONCE: Final = 24  # customers whose use is told at a tick of a counter that is not crowded
 RARER: Final = 1.0  # of the least that is told: so much more it has to be where the counter is most crowded
+CEILINGS: Final = 2.0  # times as readily as about others a crowded counter is asked about a ceiling
 LEAST_ASKED: Final = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
 QUICK: Final = 0.25  # of the time-out: a counter that answers sooner can take more
 IDLE: Final = 60.0  # s: a customer unseen this long is dropped if its buckets are full
@@ -98,7 +99,8 @@
         self.evened = NEVER  # the word by which the slice was last put right, since no further one came
         self.asked_at = NEVER  # when the counter call that is out was made
         self.sure_at = NEVER  # when a total last came of which nothing tells that it is another count's
-        self.held: list[Job] = []
+        self.held: list[Job] = []  # wait for the answer to the question that is out
+        self.queued: list[Job] = []  # came while it was out: the next question is for all of them
 
     def resize(self, now: float, event: api.Request) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
@@ -112,7 +114,7 @@
 
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
-        return (now - self.seen > IDLE and not self.open and not self.held
+        return (now - self.seen > IDLE and not self.open and not self.held and not self.queued
                 and self.slice.fits(now, self.slice.cap) and self.ceiling.fits(now, self.ceiling.cap))
 
     def siblings(self, settings: api.Settings) -> list[int]:
@@ -618,7 +620,10 @@
         # Danger: where a customer may use many gateways, an even part of its ceiling is less than the busiest
         # of them needs, and nothing after a start.  Only a total can tell more.
         full = plan.ceiling_rate > 0 and not customer.ceiling.fits(now, job.units)
-        if not hopeless and plan.rate and self._may_lend(now, job, full) and self._ask(now, customer, job):
+        ask = not hopeless and plan.rate > 0 and self._may_lend(now, job, full)
+        if ask and full and self.counting and customer.asked_at > NEVER:
+            customer.queued.append(job)
+        elif ask and self._ask(now, customer, (job,)):
             customer.held.append(job)
         elif hopeless or full:
             self._finish(now, job)
@@ -769,7 +774,7 @@
 
     # What is known of others
 
-    def _ask(self, now: float, customer: Customer, job: Job | None = None) -> bool:
+    def _ask(self, now: float, customer: Customer, jobs: tuple[Job, ...] = ()) -> bool:
         """Adds this gateway's use to the customer's count and asks for the total; False: not now.
 
         Danger: two gateways that ask at once are told of the same room.  The units of a request that
@@ -777,9 +782,11 @@
         """
         if not self.counting or customer.asked_at > NEVER or now < customer.ask_again:
             return False
-        if job and self.rng.random() >= self.ask_share:
+        # What must hold goes first: a crowded counter is still asked about a ceiling.
+        share = min(1.0, CEILINGS * self.ask_share) if customer.plan.ceiling_rate else self.ask_share
+        if jobs and self.rng.random() >= share:
             return False
-        if job is not None:
+        for job in jobs:
             job.counted = True
             # Each question stands for those like it that were sent unasked.
             unasked = customer.thin and self._pays(job.plan)
@@ -863,6 +870,14 @@
         held, customer.held = customer.held, []
         for job in held:
             self._decide(now, job)
+        if customer.asked_at > NEVER:
+            return  # the count is being put right: what is queued waits for that answer
+        queued, customer.queued = customer.queued, []
+        if queued and self._ask(now, customer, tuple(queued)):
+            customer.held = queued
+        else:
+            for job in queued:
+                self._decide(now, job)
 
     def _quick(self, event: api.CounterReply) -> None:
         if event.latency < QUICK * self.settings.counter_timeout:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -24,6 +24,7 @@
     Scope,
     Semantics,
     SetTimer,
+    Settings,
     Subscribe,
     Timer,
 )
@@ -285,3 +286,38 @@
         got = sum(start + n <= t < start + n + 1 for t in times)
         share = SETTINGS.cold_share + (1 - SETTINGS.cold_share) * n / 10
         assert 0 < got < 20 * SETTINGS.fall_factor * share * SETTINGS.fall_time * 1.1
+
+
+def test_what_comes_while_a_question_about_a_ceiling_is_out_shares_the_next_one() -> None:
+    play = fresh_of_forty()
+    for _ in range(4):
+        assert not finals(play.ask(0.0, spread=12))
+    assert len([a for a in play.actions if isinstance(a, Count)]) == 1
+    first = answer(play, 1.0)
+    (sent,) = sends(first)
+    play.end(sent, Outcome.OK, 0.0)
+    (call,) = [a for a in first if isinstance(a, Count)]
+    assert call.add == 3.0  # all three that came meanwhile
+    assert len(sends(answer(play, 4.0))) == 3
+
+
+@pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.FULL, Outcome.CONNECT_FAILED])
+def test_what_is_queued_behind_a_question_is_answered_when_the_counter_fails(outcome: Outcome) -> None:
+    play = fresh_of_forty()
+    for _ in range(4):
+        play.ask(0.0, spread=12)
+    for _ in range(2):
+        answer(play, 0.0, outcome)
+    assert len(finals(play.actions)) == 4
+
+
+def test_a_crowded_counter_is_asked_about_a_ceiling_sooner_than_about_others() -> None:
+    def asked(settings: Settings) -> int:
+        """How many of 200 customers' first requests are asked about."""
+        play = Play(settings)
+        for n in range(200):
+            play.gateway.ask_share = 0.4
+            play.ask(0.0, spread=12, customer=f"c{n}")
+        return len([a for a in play.actions if isinstance(a, Count)])
+
+    assert asked(FORTY) > 1.5 * asked(replace(FORTY, plans=(replace(WIDE, ceiling_rate=0.0),)))
