--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -20,6 +20,7 @@
 from mulleinhall.platform.discovery import Discovery, Listing
 from mulleinhall.platform.drain import drain
 from mulleinhall.platform.pace import Pace
+from mulleinhall.platform.report import counter_report
 from mulleinhall.resp.back import RespWire
 from mulleinhall.resp.front import make_talk
 from mulleinhall.transport.listener import Clients
@@ -104,7 +105,7 @@
             "front_faults": sum(listener.faults for listener in self.listeners),
             "clients": sum(len(listener.connections) for listener in self.listeners)}
         if self.counter is not None:
-            counts["quota"] = self.gateway.evidence(self.clock())
+            counts["quota"] = counter_report(self.gateway, self.clock())
         return counts | (self.translator.counts() if self.translator is not None else {})
 
     def _watch(self) -> None:
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -21,7 +21,7 @@
 from mulleinhall.quota.witness import RESTART, Check, Witness
 
 LOW: Final = 0.5  # of the slice: below this a gateway tells others of its use
-PEER_PERIOD: Final = 0.25  # s between two messages to peers; short beside any burst, long beside any request
+PERIOD: Final = 0.25  # s between two ticks; short beside any burst, long beside any request
 EXACT: Final = 0.1  # bursts that a count may pass its ends by before it is put right; more in a crowd
 ASK_LESS: Final = 0.3  # of the questions: fewer after one that failed; a quick answer brings back 1/8 of it
 LOST_PAUSE: Final = 0.5  # s without a question about a customer whose count can't be reached; then twice that
@@ -79,7 +79,7 @@
     def __init__(self, event: api.Request, plan: api.Plan, now: float, age: float, can_learn: bool,
                  most: float) -> None:
         self.key, spread, self.first = event.customer, event.spread, event.first
-        self.plan, self.spread, self.hash, self.seen = plan, max(1, spread), crc32(self.key.encode()), now
+        self.plan, self.spread, self.seen = plan, max(1, spread), now
         share, burst = plan.rate / self.spread, plan.burst / self.spread
         # Danger: each restart hands out a full burst anew.  Where more can be learned, a young process
         # starts the slice with what it has filled since.
@@ -92,7 +92,7 @@
                               min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
         self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
         self.elsewhere = Known(plan, now, self.thin)
-        self.unreported, self.used = 0.0, 0.0
+        self.unreported = 0.0
         self.number = names.number(self.key)
         self.account = Account(-1, now)
         self.ask_again, self.pause = NEVER, 0.0  # when, and how long after its count could not be reached
@@ -117,11 +117,6 @@
         return (now - self.seen > IDLE and not self.open and not self.held and not self.queued
                 and self.slice.fits(now, self.slice.cap) and self.ceiling.fits(now, self.ceiling.cap))
 
-    def siblings(self, settings: api.Settings) -> list[int]:
-        """The numbers of the other gateways that this customer may use."""
-        numbers = ((self.first + n) % settings.gateways for n in range(self.spread))
-        return [n for n in numbers if n != settings.number]
-
     def slice_fits(self, now: float, units: float) -> bool:
         return self.slice.fits(now, units, max(self.slice.cap, units))
 
@@ -130,7 +125,6 @@
         self.elsewhere.take(now, units)
         self.slice.level = max(0.0, self.slice.level - units)
         self.unreported += 0.0 if counted or self.thin else units
-        self.used += units
 
     def sure(self, now: float, job: Job) -> bool:
         """Whether a total that holds this request's units, and all that was asked about before, has just
@@ -147,7 +141,6 @@
         self.elsewhere.own += units
         self.slice.level = min(max(self.slice.cap, self.slice.level), self.slice.level - units)
         self.unreported += 0.0 if self.thin else units
-        self.used += units
 
 
 class Job:
@@ -479,38 +472,6 @@
         return best
 
 
-class Peers:
-    """What the peers' messages tell: for each of them its life and its running totals."""
-
-    def __init__(self) -> None:
-        self.heard: dict[int, float] = {}
-        self.life: dict[int, int] = {}
-        self.totals: dict[tuple[int, int], float] = {}
-
-    def read(self, event: api.PeerMessage, now: float, born: int) -> list[tuple[int, float]]:
-        """The use told by a message, as (customer's hash, units since the last word)."""
-        try:
-            life, *rows = event.text.split()
-            start = int(life)
-            entries = [(int(k, 16), int(v) / 10) for k, v in (row.split(":") for row in rows)]
-        except ValueError:
-            return []  # garbled: nothing is learned
-        if start < self.life.get(event.sender, start):
-            return []  # from an earlier life
-        if start > self.life.get(event.sender, start):
-            self.totals = {k: v for k, v in self.totals.items() if k[0] != event.sender}
-        self.life[event.sender], self.heard[event.sender] = start, now
-        news = []
-        for key, total in entries:
-            # Danger: to a fresh process a peer's whole past would look like use just now.  What a peer
-            # used before this process began is unknown; since then, all that it tells counts.
-            last = self.totals.get((event.sender, key), 0.0 if start >= born else total)
-            self.totals[event.sender, key] = max(last, total)
-            if total > last:
-                news.append((key, total - last))
-        return news
-
-
 class Gateway:
     """The decisions of one gateway.  `handle` takes an event and gives the actions."""
 
@@ -518,22 +479,17 @@
         self.settings, self.rng = settings, random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
-        self.fleet, self.peers = Fleet(settings, self.rng), Peers()
+        self.fleet = Fleet(settings, self.rng)
         self.customers: dict[str, Customer] = {}
-        self.by_hash: dict[int, Customer] = {}
         self.asked: dict[int, tuple[Customer, float]] = {}
         self.late: dict[int, tuple[Customer, float]] = {}  # calls that had no answer in time
         self.witness = Witness(settings.gateways)
         self.jobs: dict[str, Job] = {}
         self.out: dict[tuple[str, int], tuple[Job, Server]] = {}
         self.born: float | None = None
-        self.life, self.asking, self.swept = 0, False, 0.0  # the last: when idle customers were dropped
+        self.asking, self.swept = False, 0.0  # the last: when idle customers were dropped
         self.retries = Bucket(0.0, 10.0, 1.0, 0.0)
-        # A receiver takes in only so many messages a second: half of that, for losses and bursts.
-        self.period = max(PEER_PERIOD, 2 * settings.gateways / max(1.0, settings.peer_rate))
-        # Word from all is worth more than a count, while they are few enough to tell it often.
-        self.counting = settings.counter and not (settings.peers and self.period <= PEER_PERIOD)
-        self.period = PEER_PERIOD if self.counting else self.period
+        self.counting = settings.counter
         self.answered_at = -1e18  # when the counter last answered
         self.ask_share = 0.5  # of the questions that go to the counter
         self.odds = {p.name: 0.5 for p in settings.plans}  # share of the questions answered with room
@@ -541,24 +497,12 @@
         self.untold: dict[str, Customer] = {}  # customers with use that the counter was not told
         self.actions: list[api.Action] = []
 
-    def evidence(self, now: float) -> dict[str, object]:
-        """What is known of the counter, for those who watch: names that stay as they are."""
-        known = self.customers.values()
-        return {
-            "checks": [{"state": c.state.value, "members": round(c.members, 2), "parted": c.parted,
-                        "replaced": c.replaced}
-                       for c in self.witness.checks],
-            "share": round(self.witness.share(now), 3), "asked_share": round(self.ask_share, 3),
-            "replaced": sum(c.account.replaced for c in known),
-            "unreached": sum(c.pause > 0 for c in known), "untold": len(self.untold),
-            "late": self.witness.late, "customers": len(self.customers)}
-
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.actions = []
         if self.born is None:
-            self.born, self.life = now, int(now * 1000)  # told to peers: milliseconds
+            self.born = now
             self.answered_at = now  # the counter is thought to be there, but crowded
-            self.actions.append(api.SetTimer(self.period * self.rng.random(), TICK))
+            self.actions.append(api.SetTimer(PERIOD * self.rng.random(), TICK))
             if self.settings.ask_discovery:
                 self.actions.append(api.Subscribe())
             if self.counting and self.settings.gateways > 1:
@@ -570,10 +514,6 @@
                 self._ended(now, event)
             case api.CounterReply():
                 self._counted(now, event)
-            case api.PeerMessage():
-                for key, units in self.peers.read(event, now, self.life):
-                    if key in self.by_hash:
-                        self.by_hash[key].elsewhere.told(now, units)
             case api.BackendsChanged():
                 self.fleet.change(event, now)
                 # Danger: every failed call that brings two more would flood the list's service.
@@ -606,7 +546,7 @@
         if customer is None or customer.plan is not plan:
             age = now - (self.born or 0.0)
             customer = Customer(event, plan, now, age, self.counting, self.settings.most_units)
-            self.customers[event.customer] = self.by_hash[customer.hash] = customer
+            self.customers[event.customer] = customer
         customer.seen = now
         self._part(now, customer)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
@@ -645,13 +585,6 @@
         """Whether a request of which nothing is known pays on the mean."""
         return self.odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
 
-    def _known(self, now: float, customer: Customer) -> bool:
-        """Whether there is fresh word of the customer's use: a told total, or word from each sibling."""
-        if self.counting:
-            return customer.elsewhere.fresh(now)
-        last = min((self.peers.heard.get(n, -1e18) for n in customer.siblings(self.settings)), default=now)
-        return now - last < 4 * self.period
-
     def _decide(self, now: float, job: Job) -> None:
         """Inside the quota as far as is known: send.  Beyond it: refuse, or send where that pays."""
         customer, plan = job.customer, job.plan
@@ -660,7 +593,7 @@
             return
         if not plan.rate:
             inside = True
-        elif self._known(now, customer):
+        elif customer.elsewhere.fresh(now):
             # An asked total holds this request's units already; what was taken since is off the copy.
             inside = customer.elsewhere.level(now) >= job.units
         else:
@@ -949,20 +882,11 @@
             customer.elsewhere.part(now, (1 + self.witness.share(now, RESTART)) / 2)
 
     def _tick(self, now: float) -> None:
-        self.actions.append(api.SetTimer(self.period, TICK))
+        self.actions.append(api.SetTimer(PERIOD, TICK))
         self.fleet.recount()
         if now - self.swept > IDLE:
             self.swept = now
             self.late.clear()
             for name in [k for k, c in self.customers.items() if c.idle(now)]:
-                self.by_hash.pop(self.customers.pop(name).hash, None)
+                del self.customers[name]
         self._tell(now)
-        if not self.counting and self.settings.peers:
-            text = str(self.life)
-            for customer in sorted(self.customers.values(), key=lambda c: -abs(c.unreported)):
-                row = f" {customer.hash:x}:{round(customer.used * 10)}"
-                if not customer.unreported or len(text) + len(row) > 250:
-                    break
-                text += row
-                customer.unreported = 0.0
-            self.actions.append(api.TellPeers(text))
