--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -692,13 +692,13 @@
             job.over = True
             self.jobs.pop(job.id, None)
         elif not job.out:
-            self._again(now, job, event.outcome.never_ran)
+            self._again(now, job, event.outcome is api.Outcome.CONNECT_FAILED)
 
-    def _again(self, now: float, job: Job, never_ran: bool) -> None:
+    def _again(self, now: float, job: Job, unreached: bool) -> None:
         """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room, but for
-        one that was let in and that no backend has spent any work on."""
+        one that reached no backend: none has spent any work on it."""
         useful = now + self.fleet.mean(job.cls) < job.deadline
-        if useful and never_ran and self._send(now, job):
+        if useful and unreached and self._send(now, job):
             return
         if useful and self.retries.level >= 1 and self.fleet.pressure(now) < 0 and self._send(now, job):
             self.retries.take(1.0)
