--- a/mulleinhall/compiled/__init__.py
+++ b/mulleinhall/compiled/__init__.py
@@ -24,6 +24,7 @@
     "mulleinhall.core.calls", "mulleinhall.core.clock", "mulleinhall.core.exchange", "mulleinhall.core.ports",
     "mulleinhall.core.terms", "mulleinhall.core.wheel",
     "mulleinhall.dialects.http_v2",  # not hot, but it has a class below one of core's, as resp3 has
+    "mulleinhall.overload.order", "mulleinhall.overload.window",
     "mulleinhall.platform.counter",
     "mulleinhall.quota.evidence", "mulleinhall.quota.names", "mulleinhall.quota.witness",
     "mulleinhall.resp.back", "mulleinhall.resp.commands", "mulleinhall.resp.frames", "mulleinhall.resp.front",
--- /dev/null
+++ b/mulleinhall/fleet/subjects.py
@@ -0,0 +1,121 @@
+"""Who is looked at: the real Gateway, the same with its sources from elsewhere, and one that sees all."""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import mulleinhall.interface as api
+from mulleinhall.fleet.service import TIMEOUT
+from mulleinhall.fleet.size import CLASS_SHARES, CLASSES, PLAN_SHARES, PLANS, Size
+from mulleinhall.fleet.world import Make, World
+from mulleinhall.logic import Gateway
+
+
+def settings(size: Size, number: int, zone: str) -> api.Settings:
+    return api.Settings(
+        CLASSES, PLANS, number=number, gateways=size.ingresses, zone=zone, tick=0.002, drain_grace=1.0,
+        cold_time=size.cold_time, cold_share=size.cold_share, fall_factor=size.fall_factor,
+        fall_time=size.fall_time, max_attempts=4, cancel=True, counter=True, counter_timeout=TIMEOUT)
+
+
+class Module:
+    """One ingress: a Gateway, with the world as its exchange."""
+
+    def __init__(self, world: World, number: int, make: Callable[[api.Settings, int], Any] = Gateway) -> None:
+        self.world, self.number = world, number
+        self.life = world.lives[number]
+        self.gateway = make(settings(world.size, number, world.zone(number)),
+                            hash((world.seed, number, self.life)) & 0xffffffff)
+
+    def start(self, now: float) -> None: ...
+
+    def handle(self, now: float, event: api.Event) -> None:
+        world, number = self.world, self.number
+        if world.lives[number] != self.life:
+            return
+        for action in self.gateway.handle(now, event):
+            match action:
+                case api.Send():
+                    world.send(now, number, action)
+                case api.Refuse(id=key, retry_after=wait):
+                    if request := world.open[number].get(key):
+                        world.final(now, request, "refused", wait)
+                case api.Fail(id=key):
+                    if request := world.open[number].get(key):
+                        world.final(now, request, "failed", 0.0)
+                case api.SetTimer(delay=delay, token=token):
+                    world.later(delay, self.handle, api.Timer(token))
+                case api.Count(name=name, add=add, lifetime=lifetime):
+                    self._count(now, name, add, lifetime)
+                case _:
+                    pass
+
+    def _count(self, now: float, name: int, add: float, lifetime: float) -> None:
+        def told(outcome: api.Outcome, total: float, latency: float) -> None:
+            self.handle(self.world.now, api.CounterReply(name, outcome, total, latency))
+
+        self.world.counter.call(now, name, add, lifetime, told)
+
+
+class Perfect:
+    """A shedder that sees all: the true stores, every queue, and what is offered.  It admits from the top of
+    the one order what the backends that are up bear, and sends it to the shortest queue."""
+
+    FULL = 0.95  # of what they bear: the rest keeps queues short
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number = world, number
+        size = world.size
+        rows = sorted(((c.worth * p.price, cs * ps) for c, cs in zip(CLASSES, CLASS_SHARES, strict=True)
+                       for p, ps in zip(PLANS, PLAN_SHARES, strict=True)), reverse=True)
+        self.rows = [(worth, share * size.load * size.capacity * size.mean_work) for worth, share in rows]
+
+    def start(self, now: float) -> None: ...
+
+    def handle(self, now: float, event: api.Event) -> None:
+        if not isinstance(event, api.Request):
+            return
+        world = self.world
+        request = world.open[self.number][event.id]
+        plan, cls = request.customer.plan, request.cls
+        store = world.tally.stores[request.customer.name]
+        store.fill(now)
+        chance, up = self._chance(cls.worth * plan.price, now), [b for b in world.backends.values()
+                                                                   if b.up and b.ready
+                                                                   and not world.parted(self.number, b)]
+        best = min(up, key=lambda b: (b.running + len(b.waiting) + 1) / b.bears(now), default=None)
+        wait = 0.0 if best is None else len(best.waiting) * world.size.mean_work / best.bears(now)
+        if store.level < 1.0 or best is None or wait > cls.aim / 2 or world.draw.random() >= chance:
+            world.final(now, request, "refused", 0.0)
+        else:
+            world.send(now, self.number, api.Send(event.id, best.name))
+
+    def _chance(self, worth: float, now: float) -> float:
+        """The share of what is worth this much that fits under what is worth more."""
+        world = self.world
+        left = self.FULL * sum(b.bears(now) for b in world.backends.values() if b.up and b.ready)
+        for level, asked in self.rows:
+            asked *= world.factor
+            if level == worth:
+                return min(1.0, max(0.0, left / max(asked, 1e-9)))
+            left -= asked
+        return 1.0
+
+
+def module_at(path: Path, name: str) -> ModuleType:
+    """The policy from another file: as it was at another revision, or with one part taken out."""
+    spec = importlib.util.spec_from_file_location(name, path)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[name] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+def gateways(make: Callable[[api.Settings, int], Any] = Gateway) -> Make:
+    return lambda world, number: Module(world, number, make)
--- /dev/null
+++ b/mulleinhall/fleet/world.py
@@ -0,0 +1,366 @@
+"""The world in virtual time: who asks, the network, the list, the counter, and what goes wrong.
+
+The same seed and size ask the very same of every subject.  Time is a heap of what is due.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import mulleinhall.interface as api
+from mulleinhall.fleet.backend import Backend, Work
+from mulleinhall.fleet.service import Counter, Roster
+from mulleinhall.fleet.size import CLASS_SHARES, CLASSES, PLAN_SHARES, PLANS, Size, Trouble
+from mulleinhall.fleet.tally import Tally
+
+END = 4.0  # s after the last arrival in which all must be over
+
+
+@dataclass(slots=True)
+class Customer:
+    """`rate`: first tries a second.  `weights`: of the ingresses of its set, in order from `first`."""
+
+    name: str
+    plan: api.Plan
+    rate: float
+    first: int
+    weights: list[float]
+
+
+class Request:
+    """One try of a client.  `work` is the same for all its attempts."""
+
+    __slots__ = ("answered", "asked", "attempts", "cls", "customer", "ingress", "key", "life", "number",
+                 "out", "tries", "work")
+
+    def __init__(self, number: int, customer: Customer, cls: api.RequestClass, work: float, tries: int,
+                 asked: float) -> None:
+        self.number, self.customer, self.cls, self.work = number, customer, cls, work
+        self.tries, self.asked = tries, asked
+        self.key, self.ingress, self.life, self.attempts, self.answered = str(number), 0, 0, 0, False
+        self.out: Flight | None = None
+
+
+class Flight:
+    """An attempt on its way."""
+
+    __slots__ = ("backend", "ended", "ingress", "number", "request", "sent", "work")
+
+    def __init__(self, request: Request, number: int, backend: Backend, ingress: int, sent: float) -> None:
+        self.request, self.number, self.backend, self.ingress = request, number, backend, ingress
+        self.sent, self.ended = sent, False
+        self.work: Work | None = None
+
+
+class Subject(Protocol):
+    """An ingress that is looked at: a real Gateway, or a policy to compare it with."""
+
+    def start(self, now: float) -> None: ...
+
+    def handle(self, now: float, event: api.Event) -> None: ...
+
+
+Make = Callable[["World", int], Subject]
+
+
+class World:
+    """One run.  `make` gives the ingress of a number, anew each time that it starts."""
+
+    def __init__(self, size: Size, troubles: Sequence[Trouble], seed: int, make: Make) -> None:
+        self.size, self.troubles, self.seed, self.make = size, troubles, seed, make
+        self.now, self.order, self.numbers = 0.0, 0, 0
+        # What is asked is drawn apart from what follows from the answers.
+        self.rng, self.draw = random.Random(f"asks {seed}"), random.Random(f"world {seed}")
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.tally = Tally()
+        self.backends = {f"s{n}": Backend(f"s{n}", f"z{n % size.zones}", size, self.later,
+                                          self.draw.uniform(0.85, 1.15)) for n in range(size.backends)}
+        self.up = [True] * size.ingresses
+        self.seen_up = [True] * size.ingresses  # by the front
+        self.lives = [0] * size.ingresses
+        self.open: list[dict[str, Request]] = [{} for _ in range(size.ingresses)]
+        self.factor = 1.0  # of the first tries
+        self.hot = 0.0  # share of the requests that come to ingress 0
+        self.roster = Roster(self)
+        self.counter = Counter(self)
+        self.customers = self._customers()
+        self.subjects = [make(self, n) for n in range(size.ingresses)]
+
+    def later(self, delay: float, what: Callable[..., None], *args: Any) -> None:
+        """`what` gets the time first."""
+        self.order += 1
+        heapq.heappush(self.heap, (self.now + max(0.0, delay), self.order, what, args))
+
+    def zone(self, ingress: int) -> str:
+        return f"z{ingress % self.size.zones}"
+
+    def active(self, kind: str) -> Trouble | None:
+        return next((t for t in self.troubles if t.kind == kind and t.start <= self.now < t.end), None)
+
+    def parted(self, ingress: int, backend: Backend) -> bool:
+        return self.active("zone_cut") is not None and (self.zone(ingress) == "z0") != (backend.zone == "z0")
+
+    def _customers(self) -> list[Customer]:
+        size, rng, found = self.size, self.rng, []
+        for plan, share in zip(PLANS, PLAN_SHARES, strict=True):
+            left, number = share * size.load * size.capacity, 0
+            while left > 0:
+                rate = min(left, plan.rate * size.use * rng.uniform(0.5, 1.5))
+                left, number = left - max(rate, 0.01), number + 1
+                first = rng.randrange(size.ingresses)
+                spread = min(size.spread, size.ingresses)
+                weights = [rng.expovariate(1.0) ** size.skew + 0.02 for _ in range(spread)]
+                found.append(Customer(f"{plan.name}-{number}", plan, rate, first, weights))
+        return found
+
+    def play(self) -> Tally:
+        for customer in self.customers:
+            self.later(self.rng.expovariate(customer.rate), self._come, customer)
+            self.tally.store(customer.name, customer.plan)
+        for n, subject in enumerate(self.subjects):
+            self._greet(n, subject)
+        for trouble in self.troubles:
+            self.later(trouble.start, self._begin, trouble)
+        while self.heap and self.heap[0][0] <= self.size.seconds + END:
+            self.now, _, what, args = heapq.heappop(self.heap)
+            what(self.now, *args)
+        self.tally.over(self.backends.values())
+        return self.tally
+
+    def _greet(self, number: int, subject: Subject) -> None:
+        subject.start(self.now)
+        self.roster.greet(number)
+
+    # Clients
+
+    def _come(self, now: float, customer: Customer) -> None:
+        if now > self.size.seconds:
+            return
+        self.later(self.rng.expovariate(customer.rate * self.factor), self._come, customer)
+        cls = self.rng.choices(CLASSES, CLASS_SHARES)[0]
+        work = self.rng.expovariate(1.0 / self.size.mean_work)
+        self.tally.asked(now, customer, cls)
+        self._try(now, customer, cls, work, 0, None)
+
+    def _try(self, now: float, customer: Customer, cls: api.RequestClass, work: float, tries: int,
+             last: int | None) -> None:
+        """A try, through another ingress than the last one where the customer has another."""
+        spread = len(customer.weights)
+        places = [n for n in range(spread) if self.seen_up[(customer.first + n) % self.size.ingresses]]
+        other = [n for n in places if (customer.first + n) % self.size.ingresses != last]
+        places = other or places or list(range(spread))
+        place = self.draw.choices(places, [customer.weights[n] for n in places])[0]
+        number = (customer.first + place) % self.size.ingresses
+        if self.hot and self.draw.random() < self.hot:
+            number = 0
+        self.numbers += 1
+        request = Request(self.numbers, customer, cls, work, tries, now)
+        request.ingress, request.life = number, self.lives[number]
+        self.tally.tries += 1
+        if not self.up[number]:
+            self.later(0.05, self._answered, request, "refused", 0.0)
+            return
+        self.open[number][request.key] = request
+        self.later(cls.deadline - 0.005, self._expired, request)
+        self.subjects[number].handle(now, api.Request(
+            request.key, cls.name, customer.plan.name, customer.name, cls.deadline - 0.02, 1.0, spread,
+            customer.first))
+
+    def _expired(self, now: float, request: Request) -> None:
+        if not request.answered and request.life == self.lives[request.ingress]:
+            self.tally.forced += 1
+            self.final(now, request, "failed", 0.0)
+            self.subjects[request.ingress].handle(now, api.Abandoned(request.key))
+
+    def final(self, now: float, request: Request, kind: str, retry_after: float) -> None:
+        """The one final answer."""
+        if request.answered:
+            return
+        request.answered = True
+        self.open[request.ingress].pop(request.key, None)
+        if request.out is not None and kind != "served":
+            self._give_up(now, request.out)
+        self._answered(now, request, kind, retry_after)
+
+    def _answered(self, now: float, request: Request, kind: str, retry_after: float) -> None:
+        request.answered = True
+        again = kind != "served" and request.tries < self.size.retries and now < self.size.seconds + END / 2
+        self.tally.answered(now, request.customer, request.cls, kind, now - request.asked, request.ingress)
+        if not again:
+            return
+        keeps = self.draw.random() < self.size.honour
+        wait = retry_after if keeps and retry_after > 0 else self.size.backoff * self.draw.uniform(0.5, 1.5)
+        self.later(min(wait, 2.0), self._try, request.customer, request.cls, request.work, request.tries + 1,
+                   request.ingress)
+
+    # Attempts
+
+    def send(self, now: float, ingress: int, action: api.Send) -> None:
+        request = self.open[ingress].get(action.id)
+        if request is None or request.answered:
+            number = 0 if request is None else request.attempts
+            self.later(0.0, self._moot, ingress, self.lives[ingress], action, number)
+            return
+        number, request.attempts = request.attempts, request.attempts + 1
+        flight = request.out = Flight(request, number, self.backends[action.backend], ingress, now)
+        self.tally.sent(now, request.customer, number)
+        if action.timeout:
+            self.later(action.timeout, self._overdue, flight)
+        way = self.size.way
+        if self.parted(ingress, flight.backend):
+            return  # silence
+        opened = flight.backend.connect(ingress, now) if flight.backend.up else None
+        if opened is None:
+            self.later(2 * way, self._ends, flight, api.Outcome.FULL if flight.backend.up
+                       else api.Outcome.CONNECT_FAILED)
+            return
+        self.later(way * (3 if opened else 1), self._arrives, flight, opened)
+
+    def _moot(self, now: float, ingress: int, life: int, action: api.Send, number: int) -> None:
+        if life == self.lives[ingress]:
+            self.subjects[ingress].handle(now, api.AttemptEnded(
+                action.id, number, action.backend, api.Outcome.MOOT, finished=True))
+
+    def _arrives(self, now: float, flight: Flight, opened: bool) -> None:
+        backend = flight.backend
+        if flight.ended:
+            backend.release(flight.ingress, now, False)
+            return
+        if not backend.up:
+            self._ends(now, flight, api.Outcome.RESET)
+            return
+
+        def done(served: bool) -> None:
+            if not flight.ended:
+                self.later(self.size.way, self._ends, flight, api.Outcome.OK if served else api.Outcome.RESET)
+
+        flight.work = Work(flight.request.work, done, opened)
+        self.tally.arrived(now, backend)
+        if not backend.take(now, flight.work):
+            flight.work = None
+            self.later(self.size.way, self._ends, flight, api.Outcome.FULL)
+
+    def _ends(self, now: float, flight: Flight, outcome: api.Outcome) -> None:
+        if flight.ended:
+            return
+        flight.ended = True
+        request, number = flight.request, flight.ingress
+        if flight.backend.up and outcome is not api.Outcome.CONNECT_FAILED:
+            kept = outcome in (api.Outcome.OK, api.Outcome.FULL)
+            if flight.work is not None or outcome is api.Outcome.FULL:
+                flight.backend.release(number, now, kept)
+        if request.out is flight:
+            request.out = None
+        if request.life != self.lives[number]:
+            return
+        if outcome is api.Outcome.OK and not request.answered:
+            self.final(now, request, "served", 0.0)
+        self.tally.attempt(now, outcome)
+        self.subjects[number].handle(now, api.AttemptEnded(
+            request.key, flight.number, flight.backend.name, outcome, now - flight.sent, request.answered))
+
+    def _overdue(self, now: float, flight: Flight) -> None:
+        if not flight.ended:
+            self._give_up(now, flight, api.Outcome.TIMEOUT)
+
+    def _give_up(self, now: float, flight: Flight, outcome: api.Outcome = api.Outcome.CANCELLED) -> None:
+        if flight.work is not None:
+            flight.work.given_up = True
+        self._ends(now, flight, outcome)
+
+    # Troubles
+
+    def _begin(self, now: float, trouble: Trouble) -> None:
+        self.tally.came_about[trouble.kind] += 1
+        span = max(0.0, trouble.end - now)
+        names = list(self.backends)
+        match trouble.kind:
+            case "kill":
+                for n in self.draw.sample(range(self.size.ingresses),
+                                          round(trouble.share * self.size.ingresses)):
+                    self.kill(n, trouble.figure)
+            case "release":
+                some = self.draw.sample(names, round(trouble.share * len(names)))
+                for place, name in enumerate(some):
+                    self.later(span * place / len(some), self._replace, self.backends[name])
+            case "zone_lost":
+                for backend in self.backends.values():
+                    if backend.zone == "z0":
+                        backend.die()
+                        self.roster.tell(backend, api.Readiness.GONE)
+                        self.later(span, self._back, backend)
+            case "load":
+                self.factor = trouble.figure
+                for customer in self.customers:  # those that have come will only draw again later
+                    self.later(self.rng.expovariate(customer.rate * (trouble.figure - 1) + 1e-9),
+                               self._more, customer, trouble)
+                self.later(span, self._calm)
+            case "slow":
+                for name in self.draw.sample(names, max(1, round(trouble.share * len(names)))):
+                    self.backends[name].slower = trouble.figure
+                    self.later(span, self._quick, self.backends[name])
+            case "hot":
+                self.hot = trouble.share
+                self.later(span, self._even)
+
+    def _calm(self, now: float) -> None:
+        self.factor = 1.0
+
+    def _more(self, now: float, customer: Customer, trouble: Trouble) -> None:
+        """A try that only the trouble brings."""
+        if now < trouble.end:
+            cls = self.rng.choices(CLASSES, CLASS_SHARES)[0]
+            self.tally.asked(now, customer, cls)
+            self._try(now, customer, cls, self.rng.expovariate(1.0 / self.size.mean_work), 0, None)
+
+    def _quick(self, now: float, backend: Backend) -> None:
+        backend.slower = 1.0
+
+    def _even(self, now: float) -> None:
+        self.hot = 0.0
+
+    def _replace(self, now: float, backend: Backend) -> None:
+        """Drains for a second, is gone, and comes back cold."""
+        backend.ready = False
+        self.roster.tell(backend, api.Readiness.DRAINING)
+        self.later(1.0, self._gone, backend)
+
+    def _gone(self, now: float, backend: Backend) -> None:
+        backend.die()
+        self.roster.tell(backend, api.Readiness.GONE)
+        self.later(0.5, self._back, backend)
+
+    def _back(self, now: float, backend: Backend) -> None:
+        backend.start(now)
+        self.roster.tell(backend, api.Readiness.READY)
+
+    def kill(self, number: int, down: float) -> None:
+        """The ingress dies: its clients see their connections end, and nobody waits for its attempts."""
+        if not self.up[number]:
+            return
+        self.up[number], self.lives[number] = False, self.lives[number] + 1
+        requests, self.open[number] = self.open[number], {}
+        for request in requests.values():
+            if request.out is not None:
+                if request.out.work is not None:
+                    request.out.work.given_up = True
+                self._ends(self.now, request.out, api.Outcome.CANCELLED)
+            if not request.answered:
+                self._answered(self.now, request, "cut", 0.0)
+        for backend in self.backends.values():
+            backend.drop(number)
+        self.later(self.size.gate_notice, self._see, number)
+        self.later(down, self._revive, number)
+
+    def _see(self, now: float, number: int) -> None:
+        self.seen_up[number] = self.up[number]
+
+    def _revive(self, now: float, number: int) -> None:
+        self.up[number] = True
+        self.subjects[number] = self.make(self, number)
+        self._greet(number, self.subjects[number])
+        self.later(0.2, self._see, number)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -11,11 +11,13 @@
 import random
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
-from math import exp, log
+from math import log
 from typing import Final
 from zlib import crc32
 
 import mulleinhall.interface as api
+from mulleinhall.overload.order import place
+from mulleinhall.overload.window import Window
 from mulleinhall.quota import names
 from mulleinhall.quota.evidence import NEVER, Account, Known
 from mulleinhall.quota.witness import RESTART, Check, Witness
@@ -35,13 +37,8 @@
 IDLE: Final = 60.0  # s: a customer unseen this long is dropped if its buckets are full
 SMOOTH: Final = 0.15  # weight of a new sample in a running mean: about the last dozen count
 BUSY: Final = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
-START_LIMIT: Final = 1.0  # attempts a backend gets from here before its first answer; it grows with good ones
 START_WARM: Final = 12.0  # attempts that one long warm gets before its first answers, from all gateways
-CUT: Final = 0.85  # a backend's limit shrinks to this share when it is busy
 SPARE: Final = 0.55  # of what the backends may hold: past it the least worth goes first
-CALM: Final = 0.2  # of the aim: attempts out this long on the mean begin, and end, to be shed
-JAM: Final = 0.45
-RECENT: Final = (3.0, 1.0)  # s over which the mean time out is taken: some answers at one gateway of hundreds
 SUBSET: Final = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
 RETRY_SHARE: Final = 0.15  # further attempts for each first one, on the mean
 COLD_MARGIN: Final = 0.7  # of what a cold backend bears, all gateways together
@@ -94,6 +91,7 @@
         self.elsewhere = Known(plan, now, self.thin)
         self.unreported = 0.0
         self.number = names.number(self.key)
+        self.placed, self.place_till = 0.0, NEVER  # where it stands among equals, and until when
         self.account = Account(-1, now)
         self.ask_again, self.pause = NEVER, 0.0  # when, and how long after its count could not be reached
         self.evened = NEVER  # the word by which the slice was last put right, since no further one came
@@ -112,6 +110,11 @@
             bucket.level = min(bucket.level, bucket.cap)
         self.open_limit = max(1, int(self.plan.open_limit / self.spread))
 
+    def place(self, now: float) -> float:
+        if now >= self.place_till:
+            self.placed, self.place_till = place(self.number, now)
+        return self.placed
+
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
         return (now - self.seen > IDLE and not self.open and not self.held and not self.queued
@@ -182,40 +185,24 @@
             for other, sent in self.maybe)
 
 
-class Totals:
-    """What the backends present hold and may hold, kept up so that no request has to look at all of them."""
-
-    def __init__(self) -> None:
-        self.limits, self.out = 0.0, 0
-
-
 class Server:
     """One backend: what it holds from here, how it fares, and whether it is cold or leaving."""
 
-    def __init__(self, info: api.Backend, now: float, level: float = 0.0,
-                 totals: Totals | None = None, limit: float = START_LIMIT) -> None:
-        self.info, self.present, self.totals = info, False, totals or Totals()
+    def __init__(self, info: api.Backend, now: float, level: float = 0.0) -> None:
+        self.info, self.present = info, False
         self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
         self.oldest = 0.0  # when the first of them was sent
-        self.fresh_start(now, level, limit)
+        self.fresh_start(now, level)
 
-    def fresh_start(self, now: float, level: float, limit: float) -> None:
+    def fresh_start(self, now: float, level: float) -> None:
         """Danger: cold budgets far under one attempt that start alike reach it at one moment, or too late.
         With a `level` drawn evenly from 0 to 1 all gateways together send at their rate from the start."""
         self.pace, self.pace_at = 1.0, now  # answer time beside what the class takes on the mean
         self.wait = BUSY  # mean answer time as a share of the aim
-        self.limit = limit
-        self.cut_at, self.was_cut = now, False
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
         self.turned = 0  # how many it turned away in a row
         self.budget = Bucket(0.0, 1.0, level, now)
 
-    def put_limit(self, limit: float) -> None:
-        """The limit, and what all backends present may hold together."""
-        if self.present:
-            self.totals.limits += limit - self.limit
-        self.limit = limit
-
     def cold(self, now: float, settings: api.Settings) -> bool:
         return self.info.started > 0.0 and now < self.info.started + settings.cold_time
 
@@ -223,16 +210,6 @@
         self.pace += SMOOTH * (latency / max(mean, 1e-6) - self.pace)
         self.pace_at = self.heard_at = now
         self.wait += SMOOTH * (latency / aim - self.wait)
-        if self.wait > BUSY:
-            self.cut(now, latency)
-        elif latency < BUSY * aim and len(self.out) + 1 >= SPARE / 2 * self.limit:
-            self.put_limit(self.limit + (1.0 / max(self.limit, 1.0) if self.was_cut else 1.0))
-
-    def cut(self, now: float, every: float) -> None:
-        if now - self.cut_at >= every:
-            self.put_limit(max(1.0, min(self.limit, len(self.out) + 1.0) * CUT))
-            self.cut_at = now
-            self.was_cut = True
 
     def stalled(self, now: float, mean: float) -> bool:
         """Danger: a backend that died silently, or runs many times slower, looks idle till a deadline."""
@@ -247,7 +224,6 @@
         connections at the first sign, errors and time-outs when they come in a row; each further
         failure doubles the pause, and one attempt then tries it again."""
         if outcome is api.Outcome.FULL and self.wait >= BUSY:
-            self.cut(now, 0.0)
             self.retry_at = max(self.retry_at, now + patience / 4)
             return
         # Danger: one that leaves, of which a late list tells nothing, turns all away at once and looks idle.
@@ -290,14 +266,9 @@
         self.ranked: list[float] = []  # the same in order of worth
         self.present: list[Server] = []
         self.near: list[Server] = []  # this gateway's subset, by rendezvous hash: what it learns is of use
-        self.held: dict[tuple[str, int], tuple[float, float]] = {}
-        self.weights: dict[float, int] = {}  # how many of them have which weight
-        self.totals = Totals()
         self.warm, self.warm_till = 0.0, -1e18  # weight of the warm backends, and until when that holds
         self.weight = 0.0  # of all backends present
-        self.wait_at = -1e18
-        # Over each span, s: attempts out, in aims, times seconds, and sends.
-        self.recent = {span: [BUSY, 1.0] for span in RECENT}
+        self.window = Window()  # on all that is out from here
 
     def change(self, event: api.BackendsChanged, now: float) -> None:
         if event.kind is api.ListKind.UNAVAILABLE:
@@ -307,14 +278,11 @@
             for server in self.servers.values():
                 server.present = server.present and server.info.id in named
         for info in event.backends:
-            # Nothing is known yet of one that has been warm for long; only a cold one must be spared.
-            warm = info.started + self.settings.cold_time <= now
-            limit = max(START_LIMIT, START_WARM / self.settings.gateways) if warm else START_LIMIT
             if info.id not in self.servers:
-                self.servers[info.id] = Server(info, now, self.rng.random(), self.totals, limit)
+                self.servers[info.id] = Server(info, now, self.rng.random())
             server = self.servers[info.id]
             if info.started != server.info.started:
-                server.fresh_start(now, self.rng.random(), limit)
+                server.fresh_start(now, self.rng.random())
             server.info, server.present = info, info.readiness is api.Readiness.READY
         for name in [n for n, s in self.servers.items() if not s.present and not s.out]:
             if self.servers[name].info.readiness is api.Readiness.GONE or name not in named:
@@ -323,37 +291,22 @@
         self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
         self.near = self.near[:SUBSET]
         self.weight, self.warm_till = sum(s.info.weight for s in self.present), -1e18
-        self.recount()
-
-    def recount(self) -> None:
-        """Guards the totals against rounding that adds up."""
-        self.totals.limits = sum(s.limit for s in self.present)
-        self.totals.out = sum(len(s.out) for s in self.present)
+        # What is known of none is tried: of each warm one so much as a crowd of all gateways may bring it.
+        self.window.begin(START_WARM * len(self.present) / self.settings.gateways)
 
-    def holds(self, server: Server, key: tuple[str, int], now: float, until: float, weight: float) -> None:
-        """An attempt is out from now on; it counts in the waiting until then."""
+    def holds(self, server: Server, key: tuple[str, int], now: float) -> None:
+        """An attempt is out from now on."""
         if not server.out:
             server.oldest = now
         server.out[key] = now
-        if server.present:
-            self.totals.out += 1
-        # Guards against an id that comes twice while its first attempt is out: what that left would count
-        # as waiting for ever.
-        if (old := self.held.get(key)) is not None:
-            self.weights[old[1]] -= 1
-        self.held[key] = until, weight
-        self.weights[weight] = self.weights.get(weight, 0) + 1
 
     def frees(self, server: Server, key: tuple[str, int], now: float) -> float:
         """An attempt is not out any more; when it was sent."""
         sent = server.out.pop(key, None)
-        if sent is not None:
-            self.totals.out -= server.present
-            server.oldest = next(iter(server.out.values())) if server.out else 0.0
-        self.wait(now)
-        if held := self.held.pop(key, None):
-            self.weights[held[1]] -= 1
-        return now if sent is None else sent
+        if sent is None:
+            return now
+        server.oldest = next(iter(server.out.values())) if server.out else 0.0
+        return sent
 
     def warm_weight(self, now: float) -> float:
         """Looks at all backends only when the list has changed or one of them has become warm."""
@@ -395,43 +348,15 @@
         free, work = len(server.out) < max(1.0, server.budget.rate), self.work(job)
         return free and server.budget.fits(now, work, max(1.0, work))
 
-    def wait(self, now: float) -> float:
-        """The mean time attempts stay out, in aims, by Little's law: the mean number out over the rate of
-        sends.  Tells of a jam before any answer comes, and from few attempts; forgets when nothing is sent.
-        An attempt counts no longer than JAM: a few backends that never answer are no jam.  Danger: where most
-        is shed, few sends are left to tell that a jam is over; it has to have been, and still to be."""
-        if now == self.wait_at:
-            return min(area / sends for area, sends in self.recent.values())  # nothing changes
-        while self.held:
-            first = next(iter(self.held))
-            until, weight = self.held[first]
-            if until >= now:
-                break
-            del self.held[first]
-            self.weights[weight] -= 1
-        out = 0.0
-        for weight, number in self.weights.items():
-            out += weight * number
-        least = float("inf")
-        for span, recent in self.recent.items():
-            keep = exp(-min((now - self.wait_at) / span, 100.0))
-            recent[0] = recent[0] * keep + (out * span + BUSY) * (1 - keep)
-            recent[1] = recent[1] * keep + (1 - keep)
-            least = min(least, recent[0] / recent[1])
-        self.wait_at = now
-        return least
-
-    def sent(self) -> None:
-        for recent in self.recent.values():
-            recent[1] += 1.0
-
     def pressure(self, now: float) -> float:
         """The share of requests to shed; below nothing there is room."""
-        full = self.totals.out / self.totals.limits if self.present else 1.0
-        return max((full - SPARE) / (1 - SPARE), (self.wait(now) - CALM) / (JAM - CALM))
+        if not self.present:
+            return 1.0
+        return (self.window.full(now) - SPARE) / (1 - SPARE)
 
-    def rank(self, job: Job) -> float:
-        """The share of recent requests that are worth less for their work than this one."""
+    def rank(self, now: float, job: Job) -> float:
+        """The share of recent requests that are worth less for their work than this one, or as much and whose
+        customer goes first among equals."""
         self.units += (job.units - self.units) * SMOOTH / 4
         worth = job.cls.worth * (job.cls.late_worth if job.late else 1.0)
         density = worth * job.plan.price / self.mean(job.cls)
@@ -441,7 +366,7 @@
         insort(self.ranked, density)
         below = bisect_left(self.ranked, density)
         same = bisect_right(self.ranked, density) - below
-        return (below + self.rng.random() * same) / len(self.densities)
+        return (below + job.customer.place(now) * same) / len(self.densities)
 
     def best(self, job: Job, now: float, servers: list[Server]) -> Server | None:
         tried = {server.info.id for server, _ in job.tries}
@@ -458,11 +383,6 @@
         for server in healthy:
             if server.info.id in tried and len(usable) > len(tried):
                 continue
-            # Danger: a jam sends no answers, so nothing would tell of it.  What is out too long tells.
-            if server.silent(now) > self.patience:
-                server.cut(now, self.patience / 4)
-            if len(server.out) >= server.limit:
-                continue
             chance = -log(1.0 - self.rng.random())  # exponential
             load = server.load(now, mean, self.patience, self.settings.zone, chance)
             if load < best_load and self.cold_ok(server, now, job):
@@ -612,7 +532,7 @@
         pays = inside or (plan.over_worth > plan.over_cost and pressure < -0.1)
         if plan.ceiling_rate and not (customer.ceiling.fits(now, job.units) or customer.sure(now, job)):
             pays = False
-        rank = self.fleet.rank(job)
+        rank = self.fleet.rank(now, job)
         if not pays or pressure > rank or not self._send(now, job):
             self._finish(now, job)
 
@@ -634,10 +554,9 @@
         job.out[number] = server
         job.maybe.append((server, now))
         job.customer.open += 1
-        self.fleet.wait(now)
-        self.fleet.sent()
-        self.fleet.holds(server, (job.id, number), now, now + JAM * job.cls.aim, 1 / job.cls.aim)
+        self.fleet.holds(server, (job.id, number), now)
         self.out[job.id, number] = job, server
+        self.fleet.window.holds(now, (job.id, number), job.cls.aim)
         # Danger: a connection that fell silent holds its request to the end.  While another attempt may
         # follow and would still be in time, this one is given up well past what answers take.
         wait, early = job.deadline - now, max(LOST * self.fleet.mean(job.cls), PATIENT * job.cls.aim)
@@ -660,9 +579,10 @@
             self.actions.append(api.Fail(job.id))
 
     def _uncount(self, now: float, job: Job) -> None:
-        """Units that were counted but not sent on are given back; where many share a count, as its debt."""
+        """Units that were counted but not sent on are given back.  Where many share a count, those beyond the
+        quota stay as its debt; what was inside and found no room at the backends is not the customer's."""
         customer = job.customer
-        if job.counted and not (customer.thin and customer.elsewhere.told_at == now):
+        if job.counted and (job.inside or not (customer.thin and customer.elsewhere.told_at == now)):
             customer.unreported -= job.units
             self.untold[customer.key] = customer
         job.counted = False
@@ -672,6 +592,7 @@
         if job is None or server is None:
             return
         customer = job.customer
+        self.fleet.window.frees(now, (event.id, event.attempt))
         customer.open -= 1
         sent = self.fleet.frees(server, (event.id, event.attempt), now)
         job.out.pop(event.attempt, None)
@@ -681,11 +602,15 @@
             server.failures, server.unreachable, server.turned = 0, False, 0
             server.answered(now, event.latency, self.fleet.mean(job.cls), job.cls.aim)
             self.fleet.note_done(now, job.cls, event.latency)
+            self.fleet.window.answered(now, event.latency, job.cls.aim, SPARE / 2)
             if event.settled and job.inside:
                 customer.settle(event.settled - job.units)
                 self.untold[customer.key] = customer
         elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
-            if event.outcome is api.Outcome.TIMEOUT and server.heard_at <= sent:
+            silent = event.outcome is api.Outcome.TIMEOUT and server.heard_at <= sent
+            if silent or (event.outcome is api.Outcome.FULL and server.wait >= BUSY):
+                self.fleet.window.shrink(now, job.cls.aim)
+            if silent:
                 server.answered(now, max(event.latency, job.cls.aim), self.fleet.mean(job.cls), job.cls.aim)
             server.failed(now, event.outcome, self.fleet.patience)
         if event.finished or job.over:
@@ -883,7 +808,6 @@
 
     def _tick(self, now: float) -> None:
         self.actions.append(api.SetTimer(PERIOD, TICK))
-        self.fleet.recount()
         if now - self.swept > IDLE:
             self.swept = now
             self.late.clear()
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,122 @@
+"""The one order among equals, and the window on what is out, without a fleet round them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from mulleinhall.overload.order import TURN, place
+from mulleinhall.overload.window import LEAST, SLOW, SPAN, Window
+from mulleinhall.quota.names import number
+
+NOW = 1_750_000_000.0
+
+
+def test_a_place_is_the_same_wherever_it_is_derived_and_holds_for_a_turn() -> None:
+    for n in range(200):
+        key = number(f"customer {n}")
+        at, till = place(key, NOW)
+        assert 0.0 <= at < 1.0 and NOW < till <= NOW + TURN
+        assert place(key, till - 0.001)[0] == at != place(key, till + 0.001)[0]
+
+
+def test_over_an_hour_no_customer_is_always_the_first_to_go() -> None:
+    keys = [number(f"customer {n}") for n in range(500)]
+    first: Counter[int] = Counter()
+    for minute in range(60):
+        first.update(key for key in keys if place(key, NOW + 60 * minute)[0] < 0.2)
+    assert max(first.values()) < 30  # 12 on the mean
+    assert min(first[key] for key in keys) > 0
+
+
+def test_clocks_that_differ_by_two_seconds_disagree_about_few() -> None:
+    keys = [number(f"customer {n}") for n in range(3000)]
+    differ = sum(place(key, NOW)[0] != place(key, NOW + 2.0)[0] for key in keys)
+    assert differ < 1.5 * 3000 * 2.0 / TURN
+
+
+def run(window: Window, now: float, seconds: float, every: float, takes: float, aim: float = 1.0) -> float:
+    """Attempts begin each `every` seconds while the window has room, and take `takes`; the time after it."""
+    out: list[tuple[float, tuple[str, int]]] = []
+    end, count = now + seconds, 0
+    while now < end:
+        while out and out[0][0] <= now:
+            at, key = out.pop(0)
+            window.frees(at, key)
+            window.answered(at, takes, aim, 0.3)
+        if window.full(now) < 1.0:
+            count += 1
+            window.holds(now, (str(count), 0), aim)
+            out.append((now + takes, (str(count), 0)))
+        now += every
+    for at, key in out:
+        window.frees(max(now, at), key)
+    return max([now, *(at for at, _ in out)])
+
+
+def made(size: float) -> Window:
+    window = Window()
+    window.begin(size)
+    window.full(100.0)
+    return window
+
+
+def test_slow_answers_shrink_it_far_below_one_and_quick_ones_open_it_again() -> None:
+    window = made(8.0)
+    now = run(window, 100.0, 80.0, 0.05, SLOW * 1.5)
+    assert LEAST <= window.size < 0.5
+    run(window, now, 40.0, 0.05, 0.1)
+    assert window.size > 1.0
+
+
+def test_one_jam_seen_by_many_answers_shrinks_it_once() -> None:
+    window = made(8.0)
+    for n in range(8):
+        window.holds(100.0, (str(n), 0), 1.0)
+    before = window.size
+    for n in range(8):
+        window.frees(101.0, (str(n), 0))
+        window.answered(101.0, 0.9, 1.0, 0.3)
+    assert window.size == pytest.approx(before * 0.9)
+
+
+def test_it_does_not_grow_by_answers_to_little() -> None:
+    window = made(8.0)
+    run(window, 100.0, 20.0, 2.0, 0.05)
+    assert window.size == 8.0
+
+
+def test_what_was_not_in_use_is_given_up_at_the_first_slow_answer() -> None:
+    window = made(100.0)
+    window.holds(100.0, ("a", 0), 10.0)
+    window.full(100.0 + 10 * SPAN)
+    window.shrink(100.0 + 10 * SPAN, 1.0)
+    assert window.size < 40.0
+
+
+def test_attempts_that_are_never_answered_count_for_an_aim_and_no_longer() -> None:
+    window = made(2.0)
+    for n in range(4):
+        window.holds(100.0, (str(n), 0), 1.0)
+    assert window.full(101.0) > 1.0
+    assert window.full(101.0 + 5 * SPAN) < 0.05
+    window.frees(107.0, ("0", 0))
+    assert window.full(107.0) < 0.05
+
+
+def test_whatever_comes_the_window_keeps_its_bounds() -> None:
+    rng, window, now = random.Random(5), made(3.0), 100.0
+    for n in range(20_000):
+        now += rng.expovariate(20.0)
+        match rng.randrange(4):
+            case 0:
+                window.holds(now, (str(n), 0), 1.0)
+            case 1:
+                window.frees(now, (str(n - rng.randrange(9)), 0))
+            case 2:
+                window.answered(now, rng.expovariate(2.0), 1.0, 0.3)
+            case _:
+                window.shrink(now, rng.expovariate(1.0))
+        assert window.size >= LEAST and window.full(now) >= 0.0
