--- a/mulleinhall/core/exchange.py
+++ b/mulleinhall/core/exchange.py
@@ -107,7 +107,10 @@
     def _expired(self, request: Open) -> None:
         """Guards against a request that nobody answers, whatever the module or a peer does."""
         if not request.answered:
-            log.warning("a final answer was forced")
+            out = request.out
+            log.warning("a final answer was forced: %d attempts, %s", request.tries,
+                        "none out" if out is None else f"out since {self.clock() - out.sent:.3f} s at "
+                        f"{out.backend}, {'written' if out.carrier else 'not written'}")
             self._give_up(request)
 
     def _give_up(self, request: Open) -> None:
