Membership by gossip as a sans-I/O machine, and the fleet's one cut: in virtual time, not yet in the ingress

Need: overload handled by the fleet as one needs to know who is there, and one cut that all hold (design follows).

--- a/mulleinhall/fleet/size.py
+++ b/mulleinhall/fleet/size.py
@@ -93,5 +93,6 @@
     "moved": (Trouble("kill", 5.0, 5.0, 2.0, 0.3), Trouble("kill", 9.0, 9.0, 2.0, 0.3),
               Trouble("kill", 13.0, 13.0, 2.0, 0.3)),
     "trigger": (Trouble("load", 5.0, 8.0, 4.0),),
+    "hot": (Trouble("hot", 4.0, 12.0, share=0.4),),
     "slow": (Trouble("slow", 4.0, 12.0, 8.0, 0.15),),
 }
--- a/mulleinhall/fleet/subjects.py
+++ b/mulleinhall/fleet/subjects.py
@@ -28,7 +28,7 @@
 
     def __init__(self, world: World, number: int, make: Callable[[api.Settings, int], Any] = Gateway) -> None:
         self.world, self.number = world, number
-        self.life = world.lives[number]
+        self.life, self.asked, self.sends = world.lives[number], 0, 0
         self.gateway = make(settings(world.size, number, world.zone(number)),
                             hash((world.seed, number, self.life)) & 0xffffffff)
 
@@ -38,9 +38,11 @@
         world, number = self.world, self.number
         if world.lives[number] != self.life:
             return
+        self.asked += isinstance(event, api.Request)
         for action in self.gateway.handle(now, event):
             match action:
                 case api.Send():
+                    self.sends += 1
                     world.send(now, number, action)
                 case api.Refuse(id=key, retry_after=wait):
                     if request := world.open[number].get(key):
--- /dev/null
+++ b/mulleinhall/fleet/talk.py
@@ -0,0 +1,85 @@
+"""Ingresses that talk: the real membership machine and the real book round each Gateway, over a lossy network.
+
+A datagram takes a while, may be lost, and passes between zones only while those are not parted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from mulleinhall.fleet.subjects import Module
+from mulleinhall.fleet.world import Make, World
+from mulleinhall.members.machine import Members, Out, Rhythm
+from mulleinhall.members.messages import MOST_REPORTS, Message
+from mulleinhall.overload.mouth import Mouth
+
+TICK = 0.1  # s
+
+
+@dataclass(frozen=True, slots=True)
+class Talk:
+    """`loss`: share of the datagrams.  `liars`: ingresses that tell a false report, `lie`: what is asked, let
+    in and full."""
+
+    loss: float = 0.0
+    delay: float = 0.002
+    liars: int = 0
+    lie: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    rhythm: Rhythm = Rhythm()
+
+
+class Talker(Module):
+    """One ingress.  `mouth` does in `run` what it does here."""
+
+    def __init__(self, world: World, number: int, talk: Talk) -> None:
+        super().__init__(world, number)
+        self.talk = talk
+        seeds = [_address(n) for n in range(min(3, world.size.ingresses))]
+        life = 1 + int(world.now * 1000)
+        members = Members(f"i{number}", _address(number), life, seeds,
+                          Random(f"talk {world.seed} {number} {life}"), talk.rhythm)
+        self.mouth = Mouth(members, self.gateway.fleet.window, world.now)
+        self.net = Random(f"net {world.seed} {number} {life}")
+
+    def start(self, now: float) -> None:
+        self.world.later(self.net.uniform(0.0, TICK), self._tick)
+
+    def _tick(self, now: float) -> None:
+        if self.world.lives[self.number] != self.life:
+            return
+        self.world.later(TICK, self._tick)
+        out, view = self.mouth.tick(now, self.asked, self.sends)
+        if self.number < self.talk.liars:
+            self.mouth.book.say(now, *self.talk.lie)
+            self.mouth.members.reports = self.mouth.book.rows(now, MOST_REPORTS)
+        self._send(out)
+        if view is not None:
+            self.handle(now, view)
+
+    def _send(self, out: list[Out]) -> None:
+        world = self.world
+        for (_, port), message in out:
+            other = port - 1
+            parted = world.active("zone_cut") is not None and (
+                (world.zone(self.number) == "z0") != (world.zone(other) == "z0"))
+            if not parted and self.net.random() >= self.talk.loss and world.up[other]:
+                world.later(self.talk.delay * self.net.uniform(0.5, 2.0), _arrive, world, other, self.number,
+                            message)
+
+    def hear(self, now: float, sender: int, message: Message) -> None:
+        self._send(self.mouth.receive(now, _address(sender), message))
+
+
+def _arrive(now: float, world: World, to: int, sender: int, message: Message) -> None:
+    subject = world.subjects[to]
+    if world.up[to] and isinstance(subject, Talker):
+        subject.hear(now, sender, message)
+
+
+def _address(number: int) -> tuple[str, int]:
+    return "127.0.0.1", number + 1
+
+
+def talkers(talk: Talk | None = None) -> Make:
+    return lambda world, number: Talker(world, number, talk or Talk())
--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -288,6 +288,17 @@
         self.name, self.outcome, self.total, self.latency = name, outcome, total, latency
 
 
+@dataclass(init=False, slots=True)
+class FleetView:
+    """The share that all gateways together shed, which each sheds from the one order; it holds until then."""
+
+    cut: float
+    until: float
+
+    def __init__(self, cut: float, until: float) -> None:
+        self.cut, self.until = cut, until
+
+
 # Actions.
 
 @dataclass(init=False, slots=True)
@@ -398,6 +409,6 @@
 
 
 Event: TypeAlias = (BackendsChanged | Request | StreamStarted | AttemptEnded | Abandoned | Timer
-                    | ProbeEnded | PeerMessage | CounterReply)
+                    | ProbeEnded | PeerMessage | CounterReply | FleetView)
 Action: TypeAlias = (Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeers | Count
                      | Subscribe | FetchBackends | Log)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -269,6 +269,7 @@
         self.warm, self.warm_till = 0.0, -1e18  # weight of the warm backends, and until when that holds
         self.weight = 0.0  # of all backends present
         self.window = Window()  # on all that is out from here
+        self.cut, self.cut_till = 0.0, 0.0  # the share that all gateways shed, and until when that holds
 
     def change(self, event: api.BackendsChanged, now: float) -> None:
         if event.kind is api.ListKind.UNAVAILABLE:
@@ -352,7 +353,8 @@
         """The share of requests to shed; below nothing there is room."""
         if not self.present:
             return 1.0
-        return (self.window.full(now) - SPARE) / (1 - SPARE)
+        own = (self.window.full(now) - SPARE) / (1 - SPARE)
+        return max(own, self.cut) if self.cut > 0 and now < self.cut_till else own
 
     def rank(self, now: float, job: Job) -> float:
         """The share of recent requests that are worth less for their work than this one, or as much and whose
@@ -448,6 +450,8 @@
                 elif token == DISCOVERY:
                     self.asking = False
                     self.actions.append(api.Subscribe())
+            case api.FleetView(cut=cut, until=until):
+                self.fleet.cut, self.fleet.cut_till = cut, until
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
--- /dev/null
+++ b/mulleinhall/overload/agreed.py
@@ -0,0 +1,64 @@
+"""One cut for the whole fleet, from what each ingress tells; and how far one of them may move it.
+
+The share that the fleet sheds is taken from all that is asked and all that is let in, with room to let in
+more, and each ingress sheds at least that share of the one order.  What is out it bounds by its own window,
+which tells at once; the fleet's cut is late by a second and steady, where one ingress sees a handful of
+attempts and its own cut jumps.  Where too little is heard the ingress goes by its own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from mulleinhall.overload.reports import Report
+
+BUSIEST: Final = 4.0  # mean tries of the others: no ingress weighs more
+FULL: Final = 0.9  # of the windows in use: from there on LESS times what is let in may be
+CALM: Final = 0.5  # of the windows in use: up to there MORE times what is let in may be
+LESS: Final = 1.4
+MORE: Final = 3.0
+FULLEST: Final = 1.5  # a told fullness counts up to here
+AGE: Final = 2.0  # s: what is older tells of another time
+FEWEST: Final = 3  # reports: fewer are no fleet
+SHARE: Final = 0.3  # of the members that have to be heard
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """`cut`: share to shed.  `full`: of the windows in use.  `heard`: reports that it rests on."""
+
+    cut: float
+    full: float
+    heard: int
+
+
+def agree(reports: Sequence[Report], members: int) -> View | None:
+    """The fleet's view, or None where too few of `members`, this one counted in, were heard of, or where
+    nothing is asked."""
+    if len(reports) < max(FEWEST, SHARE * members):
+        return None
+    weights = bounded([r.asked for r in reports])
+    asked = sum(weights)
+    if asked <= 0.0:
+        return None
+    rows = list(zip(weights, reports, strict=True))
+    let_in = sum(w * min(1.0, r.let_in / max(r.asked, 1e-9)) for w, r in rows) / asked
+    full = sum(w * min(FULLEST, r.full) for w, r in rows) / asked
+    room = LESS + min(1.0, max(0.0, (FULL - full) / (FULL - CALM))) * (MORE - LESS)
+    return View(max(0.0, 1.0 - room * let_in), full, len(reports))
+
+
+def bounded(figures: Sequence[float]) -> list[float]:
+    """Each figure, but none above BUSIEST times the mean of the others.  Guards all against a false one."""
+    whole, rest = sum(figures), max(1, len(figures) - 1)
+    return [min(x, BUSIEST * (whole - x) / rest) for x in figures]
+
+
+def most_moved(reports: int) -> float:
+    """How far one liar can move the cut, either way, where the others ask alike: it has at most
+    BUSIEST / (reports - 1 + BUSIEST) of the weight, moves the share let in and the fullness by no more than
+    that part of their range, and the cut by what follows."""
+    part = BUSIEST / (reports - 1 + BUSIEST)
+    return part * LESS + part * FULLEST / (FULL - CALM) * (MORE - LESS)
