--- a/mulleinhall/core/exchange.py
+++ b/mulleinhall/core/exchange.py
@@ -58,7 +58,7 @@
         self.open: dict[str, Open] = {}
         self.ids: set[bytes] = set()  # the clients' own, of requests that have no answer yet
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
-        self.held, self.count = 0, 0
+        self.held, self.count, self.sent = 0, 0, 0
         self.events: deque[api.Event] = deque()
         self.running = False
         self.unsupported: set[str] = set()
@@ -255,4 +255,5 @@
         self.attempts[request.key, number] = attempt
         if self.holds is not None and request.call.key:
             self.holds.sent(attempt, now)
+        self.sent += 1
         self.back.start(attempt)
--- a/mulleinhall/fleet/gossip.py
+++ b/mulleinhall/fleet/gossip.py
@@ -1,4 +1,4 @@
-"""Members alone in virtual time, over a network that loses, delays, repeats and parts: up to 1,000 of them."""
+"""Members alone in virtual time, over a network that loses, delays, repeats and parts: up to 1,000."""
 
 from __future__ import annotations
 
--- a/mulleinhall/fleet/talk.py
+++ b/mulleinhall/fleet/talk.py
@@ -1,4 +1,4 @@
-"""Ingresses that talk: the real membership machine and the real book round each Gateway, over a lossy network.
+"""Ingresses that talk: the real membership machine and the real book round each Gateway.
 
 A datagram takes a while, may be lost, and passes between zones only while those are not parted.
 """
@@ -26,7 +26,7 @@
     delay: float = 0.002
     liars: int = 0
     lie: tuple[float, float, float] = (0.0, 0.0, 0.0)
-    rhythm: Rhythm = Rhythm()
+    rhythm: Rhythm | None = None
 
 
 class Talker(Module):
--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from mulleinhall.platform.operator import Operator
+    from mulleinhall.talking import Talk
     from mulleinhall.translating import Translator
 
 log = logging.getLogger(__name__)
@@ -73,6 +74,12 @@
             self.listeners.append(Clients(talk(listener.dialect, settings), listener.address, most, held,
                                           exchange, clock))
         self.watch: asyncio.Task[None] | None = None
+        self.talk: Talk | None = None
+        if operator is not None and operator.members is not None:
+            from mulleinhall.talking import Talk
+
+            self.talk = Talk(config.name, operator.members, clock, config.seed, self.gateway.fleet.window,
+                             lambda: (exchange.count, exchange.sent), exchange.feed)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
@@ -80,8 +87,12 @@
         for listener in self.listeners:
             listener.open()
         self._watch()
+        if self.talk is not None:
+            await self.talk.open()
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
+        if self.talk is not None:
+            self.talk.close()
         await drain(self.exchange, self.listeners, self.config.settings.classes, self.loop.time)
         log.info("%s ends", self.config.name)
         if (watch := self.watch) is not None:
@@ -106,6 +117,8 @@
             "clients": sum(len(listener.connections) for listener in self.listeners)}
         if self.counter is not None:
             counts["quota"] = counter_report(self.gateway, self.clock())
+        if self.talk is not None:
+            counts["fleet"] = self.talk.counts()
         return counts | (self.translator.counts() if self.translator is not None else {})
 
     def _watch(self) -> None:
--- a/mulleinhall/members/machine.py
+++ b/mulleinhall/members/machine.py
@@ -279,7 +279,8 @@
 
     def _tell(self, to: Address) -> list[Out]:
         """All that is held, in as many messages as it takes, but no more than a hundred."""
-        rows = [self.self_news(State.ALIVE), *(self._say(x, x.state) for x in self.others.values() if x.state is not State.SUSPECT)]
+        rows = [self.self_news(State.ALIVE),
+                *(self._say(x, x.state) for x in self.others.values() if x.state is not State.SUSPECT)]
         self.rng.shuffle(rows)
         size = m.MOST_NEWS // 2
         return [(to, Message(m.TELL, self.name, 0, "", rows[n:n + size]))
--- a/mulleinhall/platform/operator.py
+++ b/mulleinhall/platform/operator.py
@@ -13,6 +13,8 @@
 LONGEST = 1 << 20  # bytes of the file
 MOST = 10_000  # entries of a table
 MOST_LISTENERS = 16
+MOST_SEEDS = 32
+MOST_KEYS = 8
 
 
 class BadOperatorFile(BadConfig):
@@ -39,12 +41,26 @@
     dialect: str
 
 
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """How this ingress talks to the others.  `advertise`: where they reach it; `used`: the key to seal with;
+    `period`: seconds between two probes."""
+
+    address: tuple[str, int]
+    advertise: tuple[str, int]
+    seeds: tuple[tuple[str, int], ...]
+    keys: Mapping[int, bytes] = field(repr=False)
+    used: int = 0
+    period: float = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The file's tables; None or nothing for one that it does not have."""
 
     dialects: Dialects | None = None
     listeners: tuple[Listener, ...] = ()
+    members: Membership | None = None
 
 
 def read_operator(path: Path, servers: frozenset[str], clients: frozenset[str]) -> Operator:
@@ -61,9 +77,10 @@
         raise BadOperatorFile(f"{path}: not UTF-8: {error.reason}") from None
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise BadOperatorFile(f"{path}: not TOML: {error}") from None
-    _known(f"{path}", table, ("dialects", "listener"))
+    _known(f"{path}", table, ("dialects", "listener", "members"))
     dialects = _dialects(f"{path}: dialects", table["dialects"], servers) if "dialects" in table else None
-    return Operator(dialects, _listeners(f"{path}: listener", table.get("listener", []), clients))
+    members = _members(f"{path}: members", table["members"], path.parent) if "members" in table else None
+    return Operator(dialects, _listeners(f"{path}: listener", table.get("listener", []), clients), members)
 
 
 def _known(where: str, table: Any, allowed: tuple[str, ...]) -> None:
@@ -94,6 +111,60 @@
     return tuple(made)
 
 
+def _address(where: str, table: Any, key: str) -> tuple[str, int]:
+    try:
+        host, port = read_address(str(table.get(key, "")), f"{where}: {key}")
+    except BadConfig as error:
+        raise BadOperatorFile(str(error)) from None
+    if not port:
+        raise BadOperatorFile(f"{where}: {key}: port 0 is no port that others can know")
+    return host, port
+
+
+def _members(where: str, table: Any, folder: Path) -> Membership:
+    _known(where, table, ("address", "advertise", "seeds", "keys", "period_s"))
+    address = _address(where, table, "address")
+    rows = table.get("seeds")
+    if not isinstance(rows, list) or not 1 <= len(rows) <= MOST_SEEDS:
+        raise BadOperatorFile(f"{where}: seeds: not a list of 1 to {MOST_SEEDS} addresses")
+    seeds = tuple(_address(f"{where}: seeds {n}", {"address": row}, "address")
+                  for n, row in enumerate(rows, 1))
+    period = table.get("period_s", 0.5)
+    if isinstance(period, bool) or not isinstance(period, int | float) or not 0.1 <= period <= 60:
+        raise BadOperatorFile(f"{where}: period_s: {period!r} is not a number from 0.1 to 60")
+    if not isinstance(table.get("keys"), str):
+        raise BadOperatorFile(f"{where}: keys: the name of a file is missing")
+    keys = _keys(f"{where}: keys", folder / table["keys"])
+    advertise = _address(where, table, "advertise") if "advertise" in table else address
+    return Membership(address, advertise, seeds, keys, next(iter(keys)), float(period))
+
+
+def _keys(where: str, path: Path) -> dict[int, bytes]:
+    """Lines of a number and a key in hexadecimal; the first is sealed with, all are opened with.  No word of
+    a key is ever said."""
+    try:
+        lines = path.read_text(encoding="ascii").splitlines()[:MOST_KEYS + 1]
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadOperatorFile(f"{where}: {path}: {type(error).__name__}") from None
+    if path.stat().st_mode & 0o077:
+        raise BadOperatorFile(f"{where}: {path}: others may read it; make it 0600")
+    keys: dict[int, bytes] = {}
+    for n, line in enumerate(filter(str.strip, lines), 1):
+        number, _, key = line.strip().partition(" ")
+        try:
+            made = bytes.fromhex(key)
+        except ValueError:
+            made = b""
+        if not number.isdecimal() or not number.isascii() or int(number) > 255 or int(number) in keys:
+            raise BadOperatorFile(f"{where}: {path}: line {n}: no number from 0 to 255 of its own")
+        if not 16 <= len(made) <= 64:
+            raise BadOperatorFile(f"{where}: {path}: line {n}: not a key of 16 to 64 bytes in hexadecimal")
+        keys[int(number)] = made
+    if not 1 <= len(keys) <= MOST_KEYS:
+        raise BadOperatorFile(f"{where}: {path}: {len(keys)} keys; 1 to {MOST_KEYS} are allowed")
+    return keys
+
+
 def _dialects(where: str, table: Any, known: frozenset[str]) -> Dialects:
     _known(where, table, ("default", "kinds", "cells"))
 
--- /dev/null
+++ b/mulleinhall/talking.py
@@ -0,0 +1,111 @@
+"""An ingress that talks to the others: datagrams round the sans-I/O parts.  Imported only where the
+operator's file has [members]."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+import mulleinhall.interface as api
+from mulleinhall.core.clock import Clock
+from mulleinhall.members.machine import Members, Out, Rhythm
+from mulleinhall.members.messages import Codec, Malformed
+from mulleinhall.overload.mouth import Mouth
+from mulleinhall.overload.window import Window
+from mulleinhall.platform.operator import Membership
+
+log = logging.getLogger(__name__)
+
+TICK: Final = 0.1  # s
+AT_ONCE: Final = 64  # datagrams in a tick, and so many more for each member; what comes beyond is dropped
+FOR_EACH: Final = 4
+LOGGED: Final = 20  # faults that are logged one by one; of later ones, every thousandth
+
+
+class Talk(asyncio.DatagramProtocol):
+    """`tries` tells the tries and the attempts since the start; `tell` gives an event to the policy."""
+
+    def __init__(self, name: str, membership: Membership, clock: Clock, seed: int, window: Window,
+                 tries: Callable[[], tuple[int, int]], tell: Callable[[api.Event], None]) -> None:
+        self.clock, self.tries, self.tell = clock, tries, tell
+        self.loop, self.bind = asyncio.get_running_loop(), membership.address
+        self.codec = Codec(membership.keys, membership.used)
+        now = clock()
+        members = Members(name, membership.advertise, int(now * 1000), membership.seeds, Random(seed),
+                          Rhythm(period=membership.period, answer=0.4 * membership.period))
+        self.mouth = Mouth(members, window, now)
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.left = AT_ONCE  # datagrams that are still taken in this tick
+        self.refused = self.dropped = 0
+        self.parts = (0, 0)  # others alive and dead when that was last logged
+
+    async def open(self) -> None:
+        """Raises OSError if the address can't be had."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind(self.bind)
+        except OSError:
+            sock.close()
+            raise
+        self.transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self.timer = self.loop.call_later(TICK, self._tick)
+
+    def _tick(self) -> None:
+        self.timer = self.loop.call_later(TICK, self._tick)
+        now, members = self.clock(), self.mouth.members
+        self.left = AT_ONCE + FOR_EACH * len(members.others)
+        out, view = self.mouth.tick(now, *self.tries())
+        self._send(out)
+        if view is not None:
+            self.tell(view)
+        parts = len(members.alive()), members.lost(now, members.rhythm.buried)
+        if parts != self.parts:
+            self.parts = parts
+            log.info("members: %d others there, %d lost, own health %d", *parts, members.health)
+
+    def _send(self, out: list[Out]) -> None:
+        if self.transport is not None:
+            for address, message in out:
+                self.transport.sendto(self.codec.seal(message), address)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self.left <= 0:
+            self.dropped += 1  # guards the requests against a flood
+            return
+        self.left -= 1
+        try:
+            message = self.codec.open(data)
+        except Malformed as error:
+            self.refused += 1
+            if self.refused <= LOGGED or self.refused % 1000 == 0:
+                log.warning("datagram %d refused: %s", self.refused, error)
+            return
+        self._send(self.mouth.receive(self.clock(), addr, message))
+
+    def error_received(self, exc: Exception) -> None:
+        """A member that is gone refuses: the probes find out."""
+
+    def counts(self) -> dict[str, Any]:
+        """What happened since the start; the names stay as they are."""
+        members, said, now = self.mouth.members, self.mouth.said, self.clock()
+        view, counts = said.last, members.counts
+        return {"there": len(members.alive()), "lost": members.lost(now, members.rhythm.buried),
+                "health": members.health, "woken": counts.woken, "suspected": counts.suspected,
+                "buried": counts.died, "refuted": counts.refuted, "sent": counts.sent,
+                "received": counts.received, "refused": self.refused, "dropped": self.dropped,
+                "views": said.views, "cuts": said.cuts, "alone": said.alone, "asleep": said.asleep,
+                "cut": round(view.cut, 3) if view else 0.0, "heard": view.heard if view else 0}
+
+    def close(self) -> None:
+        """Leaves: some of the others are told at once."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self._send(self.mouth.members.leave(self.clock()))
+            self.transport.close()
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -172,6 +172,18 @@
     self.exchange.request = request  # type: ignore[method-assign]
 
 
+def tells(lie: str) -> None:
+    """Tells the others false figures of itself, sealed with the right key."""
+    from mulleinhall.overload.reports import Book
+
+    real_say = Book.say
+
+    def say(self: Book, now: float, *figures: float) -> None:
+        real_say(self, now, *(float(x) for x in lie.split(",")))
+
+    Book.say = say  # type: ignore[method-assign, assignment]
+
+
 FAULTS: dict[str, list[tuple[Any, str, Any]]] = {
     "none": [],
     "lose": [(Exchange, "_answer", lose)], "late": [(Exchange, "_answer", late)],
@@ -196,6 +208,9 @@
     if sys.argv[1] == "crowd":
         EVERY = 2
     fault, sys.argv = sys.argv[1], [sys.argv[0], *sys.argv[2:]]
-    for owner, name, replacement in FAULTS[fault]:
+    fault, _, figures = fault.partition(":")
+    if fault == "liar":
+        tells(figures)
+    for owner, name, replacement in FAULTS.get(fault, []):
         setattr(owner, name, replacement)
     sys.exit(service.main(sys.argv[1:], Form(False, "a fault is put in place of a method")))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -69,7 +69,8 @@
 
 @pytest.mark.parametrize("bad", [
     Message(9, "m1", 1), Message(m.PING, "", 1), Message(m.PING, "x" * 65, 1), Message(m.PING, "m1", -1),
-    Message(m.PING, "m1", 1, "", [News("m2", "h", 0, 1, 1)]), Message(m.PING, "m1", 1, "", [News("m2", "h", 1, 5, 1)]),
+    Message(m.PING, "m1", 1, "", [News("m2", "h", 0, 1, 1)]),
+    Message(m.PING, "m1", 1, "", [News("m2", "h", 1, 5, 1)]),
     Message(m.PING, "m1", 1, "", [News("m2", "h", 1, 1, -1)]), Message(m.PING, "m1", 1, "", [], [b"r" * 513]),
     Message(m.PING, "m1", 1, "", message(25).news)])
 def test_figures_that_no_member_sends_are_refused_though_the_seal_is_whole(bad: Message) -> None:
@@ -78,7 +79,8 @@
         codec.open(codec.seal(bad))
 
 
-@pytest.mark.parametrize(("keys", "used"), [({1: KEY}, 2), ({1: b"short"}, 1), ({256: KEY}, 256), ({1: KEY * 9}, 1)])
+@pytest.mark.parametrize(("keys", "used"), [
+    ({1: KEY}, 2), ({1: b"short"}, 1), ({256: KEY}, 256), ({1: KEY * 9}, 1)])
 def test_bad_keys_are_refused_and_not_shown(keys: dict[int, bytes], used: int) -> None:
     with pytest.raises(ValueError) as error:
         Codec(keys, used)
