--- a/mulleinhall/fleet/tally.py
+++ b/mulleinhall/fleet/tally.py
@@ -53,7 +53,7 @@
     failed: int = 0
     cut: int = 0
     forced: int = 0
-    ceiling: float = 0.0  # units by which a ceiling's store was the furthest below nothing, beyond its slack
+    ceiling: float = -1e9  # units by which a ceiling was the furthest below nothing, beyond its slack
     outcomes: Counter[str] = field(default_factory=Counter)
     came_about: Counter[str] = field(default_factory=Counter)
     by_second: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
--- /dev/null
+++ b/tests/test_fleet_model.py
@@ -0,0 +1,93 @@
+"""Fleets of real Gateways in virtual time: each test is of what is harmless in one and harmful in all."""
+
+from __future__ import annotations
+
+import pytest
+
+import mulleinhall.interface as api
+from mulleinhall.fleet.size import DAYS, Size
+from mulleinhall.fleet.subjects import Perfect, gateways
+from mulleinhall.fleet.talk import Talk, talkers
+from mulleinhall.fleet.world import World
+from mulleinhall.logic import Gateway
+
+THIN = Size(ingresses=60, backends=18, mean_work=0.2, spread=12, load=5.0, seconds=8.0)
+
+
+class Unbounded(Gateway):
+    """The window taken out: nothing bounds what is out."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.fleet.window.size, self.fleet.window.begun = 1e6, True
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_five_times_the_capacity_over_sixty_thin_ingresses_is_shed_and_not_queued(seed: int) -> None:
+    served = {}
+    for name, make in (("module", gateways()), ("unbounded", gateways(Unbounded)),
+                       ("perfect", lambda world, number: Perfect(world, number))):
+        world = World(THIN, DAYS["calm"], seed, make)
+        figures = world.play().figures()
+        served[name] = figures["served"]
+        if name == "module":
+            assert figures["attempts_per_first"] < 1.1 and figures["refused"] > 0.8
+    assert served["module"] > 0.55 * served["perfect"], served
+    assert served["unbounded"] < 0.35 * served["perfect"], served  # the mend taken out is seen
+
+
+@pytest.mark.parametrize("seed", [4, 5, 23, 34])
+def test_a_crowd_over_one_debt_of_a_count_passes_no_ceiling(seed: int) -> None:
+    """Customers of 26 ingresses ask several times their quota of a counter nearly full.  Where each one
+    that sees the count's debt takes all of it off, the store looks full: 20 of 72 plays passed the ceiling."""
+    ingresses, calls, load, use, backends = [
+        (30, 400.0, 0.4, 5.0, 24), (40, 500.0, 0.3, 4.0, 24), (60, 900.0, 0.3, 3.0, 36)][seed % 3]
+    size = Size(ingresses=ingresses, backends=backends, spread=26, load=load, seconds=10.0, use=use, skew=1.5,
+                counter_rate=calls)
+    world = World(size, DAYS["calm"], seed, gateways())
+    tally = world.play()
+    assert tally.figures()["over"] > 0.1 and world.counter.answered < world.counter.calls  # it was crowded
+    assert tally.ceiling <= 0.0
+
+
+@pytest.mark.parametrize("day", ["herd", "zone", "join", "split", "moved", "trigger"])
+def test_the_days_of_a_fleet_come_about_and_push_no_cold_backend_over(day: str) -> None:
+    size = Size(ingresses=40, backends=24, mean_work=0.1, spread=8, load=0.6, seconds=14.0)
+    world = World(size, DAYS[day], 3, gateways())
+    tally = world.play()
+    figures = tally.figures()
+    assert set(tally.came_about) >= {t.kind for t in DAYS[day]} - {"zone_cut", "list_late", "counter_down"}
+    assert figures["fallen"] == 0 and figures["ceiling"] <= 0.0
+    assert figures["share"] > 0.6 and figures["attempts_per_first"] < 1.1
+    if day in ("herd", "moved"):
+        assert tally.cut > 0 and world.roster.calls > 0
+    if day == "split":
+        assert tally.outcomes["timeout"] > 20  # the zone that was cut off was silent
+    if day in ("herd", "zone", "join"):
+        assert figures["peak"] > 0.0  # cold ones were sent to
+
+
+def test_the_fleet_comes_back_by_itself_once_a_trigger_is_gone() -> None:
+    size = Size(ingresses=40, backends=24, mean_work=0.1, spread=8, load=0.6, seconds=20.0)
+    world = World(size, DAYS["trigger"], 2, gateways())
+    tally = world.play()
+    before = sum(tally.by_second[n] for n in range(2, 5)) / 3
+    assert sum(tally.by_second[n] for n in range(15, 19)) / 4 > 0.9 * before, dict(tally.by_second)
+
+
+def test_members_that_talk_hold_one_cut_and_a_liar_does_not_move_it_far() -> None:
+    size = Size(ingresses=12, backends=6, load=4.0, seconds=6.0)
+    honest = World(size, DAYS["calm"], 1, talkers())
+    served = honest.play().served
+    views = [subject.mouth.said.last for subject in honest.subjects]  # type: ignore[attr-defined]
+    cuts = [view.cut for view in views if view is not None]
+    assert len(cuts) == 12 and min(cuts) > 0.3 and max(cuts) - min(cuts) < 0.1
+    for lie in ((1e9, 0.0, 1e9), (1e9, 1e9, 0.0)):
+        lied = World(size, DAYS["calm"], 1, talkers(Talk(liars=1, lie=lie)))
+        assert lied.play().served > 0.75 * served
+
+
+def test_the_same_seed_plays_the_same_run() -> None:
+    size = Size(ingresses=12, backends=6, load=1.5, seconds=4.0)
+    one, other = (World(size, DAYS["split"], 7, talkers()).play().figures() for _ in range(2))
+    assert one == other
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,4 +1,4 @@
-"""Twelve processes of the program that talk, with faults between them.  Each case counts that it came about."""
+"""Twelve processes of the program that talk, with faults between them; each counts that it came about."""
 
 from __future__ import annotations
 
