--- /dev/null
+++ b/benchmarks/fleet_overload.py
@@ -0,0 +1,96 @@
+"""Overload of a whole fleet in virtual time: as it is, with talk, as it was, and one shedder that sees all.
+
+    python -m benchmarks.fleet_overload --ingresses 12 --loads 1 2 5 10 --seeds 20
+    python -m benchmarks.fleet_overload --ingresses 200 --loads 5 --seeds 3 --before old_logic.py --json
+
+Worth is what is served in time, for each request that the backends bear.  `--before` names a policy file of
+an earlier revision, from `git show REV:mulleinhall/logic.py`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+from collections import defaultdict
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+from statistics import mean
+
+from mulleinhall.fleet.size import DAYS, Size
+from mulleinhall.fleet.subjects import Perfect, gateways, module_at
+from mulleinhall.fleet.talk import talkers
+from mulleinhall.fleet.world import Make, World
+
+FIGURES = ("attempts_per_first", "refused", "wasted", "both", "handshakes", "peak", "first_crowd",
+           "connections")
+Job = tuple[str, int, float, str, int, str]
+
+
+def size_of(ingresses: int, load: float, seconds: float) -> Size:
+    """Few ingresses see much, many see a few tries a second each."""
+    thin = ingresses > 50
+    return Size(ingresses=ingresses, backends=max(12, ingresses * 3 // 10), mean_work=0.2 if thin else 0.04,
+                spread=min(12, max(3, ingresses // 3)), load=load, seconds=seconds)
+
+
+def subject(name: str, before: str) -> Make:
+    if name == "sees all":
+        return lambda world, number: Perfect(world, number)
+    if name == "before":
+        return gateways(module_at(Path(before), "policy_before").Gateway)
+    return talkers() if name == "talking" else gateways()
+
+
+def play(job: Job, seconds: float) -> tuple[Job, dict[str, float]]:
+    name, ingresses, load, day, seed, before = job
+    size = size_of(ingresses, load, seconds)
+    figures = World(size, DAYS[day], seed, subject(name, before)).play().figures()
+    return job, figures | {"worth": figures["served"] / (size.capacity * seconds)}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--ingresses", type=int, default=12)
+    parser.add_argument("--loads", type=float, nargs="+", default=[1.0, 2.0, 5.0, 10.0])
+    parser.add_argument("--days", nargs="+", default=["calm"], choices=sorted(DAYS))
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--before", default="", help="a policy file to compare with")
+    parser.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    names = ["module", "talking", *(["before"] if args.before else []), "sees all"]
+    jobs: list[Job] = [(name, args.ingresses, load, day, seed, args.before) for day in args.days
+                       for load in args.loads for name in names for seed in range(1, args.seeds + 1)]
+    found: defaultdict[tuple[str, float, str], list[dict[str, float]]] = defaultdict(list)
+    with ProcessPoolExecutor(args.jobs) as pool:
+        futures = [pool.submit(play, job, args.seconds) for job in jobs]
+        for done, future in enumerate(as_completed(futures), 1):
+            job, figures = future.result()
+            found[job[3], job[2], job[0]].append(figures)
+            print(f"\r{done} of {len(jobs)}", end="", file=sys.stderr, flush=True)
+    print(file=sys.stderr)
+    rows = [{"day": day, "load": load, "subject": name, "plays": len(runs),
+             "worth": mean(r["worth"] for r in runs), "worst": min(r["worth"] for r in runs),
+             **{key: mean(r[key] for r in runs) for key in FIGURES}}
+            for (day, load, name), runs in sorted(found.items())]
+    if args.json:
+        print(json.dumps(rows, indent=1))
+        return 0
+    best = {(r["day"], r["load"]): r["worth"] for r in rows if r["subject"] == "sees all"}
+    for r in rows:
+        share = float(r["worth"]) / max(1e-9, float(best[r["day"], r["load"]]))  # type: ignore[arg-type]
+        print(f"{r['day']:8} {r['load']:5} {r['subject']:9} {r['plays']:3} plays  worth {r['worth']:.2f} "
+              f"(worst {r['worst']:.2f}, {share:.2f} of the one that sees all)  "
+              + "  ".join(f"{key} {r[key]:.3f}" for key in FIGURES))
+    return 0
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        sys.exit(130)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -66,7 +66,9 @@
                commands: dict[int, str] | None = None, seed: int = 5) -> World:
     """Clients come for so long while `case` strikes; the referee judges all of it."""
     with tempfile.TemporaryDirectory(prefix="fleet-") as name:
-        world = World(Scenario("fleet", seconds, seed, deployment), Path(name))
+        # This interpreter, since the run line's own environment need not hold what [members] needs.
+        world = World(Scenario("fleet", seconds, seed, deployment), Path(name),
+                      f"exec {sys.executable} -m mulleinhall")
         for number, command in (commands or {}).items():
             world.ingresses[number].command = command
         fleet = Fleet(world.ingresses, Path(name), seed)
