--- a/tests/test_members_settings.py
+++ b/tests/test_members_settings.py
@@ -13,7 +13,8 @@
 
 KEY = "00112233445566778899aabbccddeeff"
 NONE: Mapping[str, str | None] = {}
-GOOD: Mapping[str, str | None] = {"address": '"127.0.0.1:7100"', "seeds": '["127.0.0.2:7100"]', "keys": '"keys"'}
+GOOD: Mapping[str, str | None] = {
+    "address": '"127.0.0.1:7100"', "seeds": '["127.0.0.2:7100"]', "keys": '"keys"'}
 
 
 def read(folder: Path, changes: Mapping[str, str | None] = NONE, lines: str = f"3 {KEY}\n",
