--- a/tests/test_members_settings.py
+++ b/tests/test_members_settings.py
@@ -72,4 +72,5 @@
     script = ("import sys, mulleinhall.ingress, mulleinhall.service\n"
               "assert not [n for n in sys.modules if n.startswith(('msgspec', 'mulleinhall.members', "
               "'mulleinhall.talking', 'mulleinhall.fleet', 'mulleinhall.overload.mouth'))]")
-    subprocess.run([sys.executable, "-c", script], check=True, timeout=60)
+    subprocess.run([sys.executable, "-c", script], check=True, timeout=60,
+                   cwd=Path(__file__).resolve().parent.parent)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -179,6 +179,6 @@
               "async def serve(config, operator):\n    print(gc.get_freeze_count(), len(gc.get_objects()))\n"
               "service.serve, service.load = serve, lambda: None\nservice.main([], Form(False, 'a test'))")
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True,
-                          timeout=60)
+                          timeout=60, cwd=Path(__file__).resolve().parent.parent)
     frozen, left = map(int, done.stdout.split())
     assert frozen > 20_000 and left < frozen / 10
