Clients may come only once the loop has waited: no request is lost after a start

A probe logged the loop's lateness, late answers, and clients that go away. Both were killed at 11.65 s and back at 13.15 s (14.220 in their logs); with a patience of 4 s the requests were sent 0.1 and 0.3 s after that, and read 0.9 s later. "compiled" and "serves" bear one and the same time, 14.220. Cause: service.py, serve, and ingress.py, run: imports, set-up and listen() in one piece, before the loop waits for the first time. The machine takes connections of clients whose front has not noticed the death yet, while what the start costs is still to be paid; the exchange counts a request's time from when it is read. It stood there all along: most such requests were refused or served soon, so the lateness showed only where one waited to its end. Change: the loop waits once, 10 ms, before clients may come. A test sees the order, and fails without it.

--- a/mulleinhall/service.py
+++ b/mulleinhall/service.py
@@ -22,6 +22,7 @@
     from mulleinhall.platform.operator import Operator
 
 HANDLED = {signal.SIGHUP, signal.SIGUSR1}
+SETTLE = 0.01  # s
 log = logging.getLogger("mulleinhall")
 
 
@@ -65,6 +66,9 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counts %s", json.dumps(ingress.counts())))
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
+    # Guards against requests that the machine takes while the process is busy with its start: their time
+    # would count from when they are read.  Once the loop has waited, all that came before it is done.
+    await asyncio.sleep(SETTLE)
     await ingress.run(stop)
 
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -12,12 +12,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from mulleinhall import service
 from mulleinhall.interface import RequestClass
 from mulleinhall.platform import drain
+from mulleinhall.platform.config import Config
 from tests.peers import (
     SETTINGS,
     Address,
@@ -182,3 +184,25 @@
                           timeout=60, cwd=Path(__file__).resolve().parent.parent)
     frozen, left = map(int, done.stdout.split())
     assert frozen > 20_000 and left < frozen / 10
+
+
+def test_clients_may_come_only_once_the_loop_has_waited() -> None:
+    """A machine takes connections and requests from the moment that the program listens."""
+    seen: list[str] = []
+
+    class Started:
+        def __init__(self, config: Config, operator: object = None) -> None:
+            asyncio.get_running_loop().call_later(0.0, seen.append, "what the start left to do")
+
+        async def run(self, stop: asyncio.Event) -> None:
+            seen.append("listens")
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(service, "Ingress", Started)
+        before = [signal.getsignal(s) for s in (signal.SIGTERM, signal.SIGINT)]
+        try:
+            run(service.serve(cast(Config, None), None))
+        finally:
+            for number, handler in zip((signal.SIGTERM, signal.SIGINT), before, strict=True):
+                signal.signal(number, handler)
+    assert seen == ["what the start left to do", "listens"]
