An ingress hands over its work: keepers, connections among instances, the guard round the back

Change: parts/ holds what an installation adds, each part imported only where the operator's file asks for it (talking, translating, and now handing with wires). [handover] in the operator's file: a keyed attempt asks its keepers before its first byte, for 50 ms at most, and tells them when it is written and how it ended; what a silent instance left is taken over by the first keeper that is there, at a bounded rate, through the module, without units. With a store, an answer to a question goes out once what it tells is safe. Two small looks on the way of requests: an attempt whose time is over is not written (a process that stood still), and whoever needs to know is told when it was. A client's solution in the lab is the same in each try.

--- a/mulleinhall/core/ports.py
+++ b/mulleinhall/core/ports.py
@@ -24,7 +24,7 @@
     seconds; `number` counts a request's attempts from 0."""
 
     __slots__ = ("backend", "call", "carrier", "deadline", "ended", "final", "number", "request", "sent",
-                 "timer")
+                 "timer", "written")
 
     def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
                  call: Call) -> None:
@@ -34,6 +34,8 @@
         self.final: Answer | None = None  # set by the back before the end: what the client is told at once
         self.carrier: Any = None  # the back's own: what the attempt is on, once it was written
         self.timer: Handle | None = None  # the back's own
+        # Called by the back once all of it was handed to the system, where somebody has to know.
+        self.written: Callable[[Attempt], None] | None = None
 
 
 Ended = Callable[[Attempt, Outcome, bytes | None, Mapping[str, float]], None]
--- a/mulleinhall/handover/keeper.py
+++ b/mulleinhall/handover/keeper.py
@@ -78,7 +78,7 @@
                 return None
             if self.held > self.most and not self._give_way():
                 return self._say(Word.FULL, question)
-            self._put(question.name, Record(Phase.HELD, grant, question.digest, now, now, call=question.call))
+            self.put(question.name, Record(Phase.HELD, grant, question.digest, now, now, call=question.call))
             return self._say(Word.GRANTED, question)
         mine = record.holder[:2] == grant[:2] and (
             record.holder[2] == grant[2] or (ask is Ask.OPEN and record.holder[2] > grant[2]))
@@ -92,7 +92,7 @@
             return self._say(Word.CLASH, question)
         if step is Step.GRANT:
             free = record.phase is Phase.FREE
-            self._put(question.name, Record(
+            self.put(question.name, Record(
                 Phase.HELD, grant, question.digest, now if free else record.since, now,
                 Phase.FREE if free else record.phase, NOBODY if free else record.holder,
                 question.call or record.call))
@@ -102,12 +102,12 @@
         if step is Step.NOTE:
             phase = PHASE_OF[Ask(question.ask)]
             call = b"" if phase is Phase.DONE else record.call
-            self._put(question.name, Record(phase, record.holder, record.digest, record.since, now,
+            self.put(question.name, Record(phase, record.holder, record.digest, record.since, now,
                                             record.prior, record.before, call, question.value))
         elif step is Step.RESTORE:
             # Nothing of this holder's ran.  Danger: what an earlier one may have sent must not be forgotten.
             free = record.prior is Phase.FREE
-            self._put(question.name, Record(
+            self.put(question.name, Record(
                 record.prior, record.holder if free else record.before, record.digest, record.since, now,
                 call=b"" if free else record.call))
 
@@ -122,7 +122,8 @@
         return Reply(word, question.name, question.life, question.op, prior, round(age, 4),
                      record.value if word is Word.DONE else b"")
 
-    def _put(self, name: bytes, record: Record) -> None:
+    def put(self, name: bytes, record: Record) -> None:
+        """Takes a record as it is."""
         old = self.records.pop(name, None)
         self.held += record.size() - (old.size() if old is not None else 0)
         self.records[name] = record
@@ -164,10 +165,10 @@
         if held is not None:
             since = min(since, held.since)
         if held is None or held.phase < row.phase:
-            self._put(row.name, Record(Phase(row.phase), (row.holder, row.life, row.op), row.digest, since,
+            self.put(row.name, Record(Phase(row.phase), (row.holder, row.life, row.op), row.digest, since,
                                        now, call=row.call, value=row.value))
         elif since < held.since:
-            self._put(row.name, replace(held, since=since))
+            self.put(row.name, replace(held, since=since))
 
     def in_hand(self) -> Iterator[tuple[bytes, Record]]:
         """What is neither free nor done, the longest unchanged first."""
--- a/mulleinhall/handover/node.py
+++ b/mulleinhall/handover/node.py
@@ -11,11 +11,13 @@
 from enum import Enum, auto
 from math import inf
 from typing import Final
+from zlib import crc32
 
 from mulleinhall.handover.keeper import Grant, Keeper, keepers
 from mulleinhall.handover.messages import FORMAT, Hello, Learn, Message, Question, Reply, Row, Still, Word
 from mulleinhall.handover.table import Ask, Phase, Whose
 
+LEARN_AGAIN: Final = 0.5  # s between two questions for all records: the way back may not be up yet
 MOST_OPS: Final = 20_000  # open at one time; beyond, a submission goes on unprotected
 
 
@@ -81,6 +83,7 @@
     kept: int = 0
     vouches: bool | None = None  # whether it knows our store up to no more than what we have of it
     learnt: bool = False  # it has told us all its records since our start
+    asked: float = -1e18  # when we asked it for them
 
 
 def weigh(rules: Rules, op: Op, now: float) -> Told | None:
@@ -159,7 +162,9 @@
         op.over, op.held = True, verdict in (Verdict.GO, Verdict.UNPROTECTED)
         self.counts[verdict.name.lower()] += 1
         self.counts["repeats"] += op.held and told.until < inf
-        self.told.append(Told(number, verdict, told.value, told.wait, told.until))
+        # Several that were put off at one moment must not come back as one.
+        wait = told.wait * (0.5 + crc32(f"{self.name} {number}".encode()) / 2**32)
+        self.told.append(Told(number, verdict, told.value, wait, told.until))
         if not op.held:
             # What was granted, and what is granted late, is given back.
             self._ask(op, Question(Ask.RELEASE, op.name, self.life, number))
@@ -251,12 +256,13 @@
             peer.up = up
             if up:
                 peer.heard = now
-                self._greet(other, peer)
-                if not self.keeper.whole(now) and not peer.learnt:
-                    self.out.append((other, Learn(self.life)))
+                self._greet(now, other, peer)
 
-    def _greet(self, other: str, peer: Peer) -> None:
-        whole = self.keeper.whole(self.next_beat - self.rules.beat)
+    def _greet(self, now: float, other: str, peer: Peer) -> None:
+        whole = self.keeper.whole(now)
+        if not whole and not peer.learnt and now - peer.asked >= LEARN_AGAIN:
+            peer.asked = now
+            self.out.append((other, Learn(self.life)))
         self.out.append((other, Hello(FORMAT, self.life, self.disk, self.kept, whole, peer.life, peer.disk,
                                       peer.kept)))
 
@@ -284,7 +290,7 @@
             self.next_beat = now + self.rules.beat
             for other, peer in self.peers.items():
                 if peer.up:
-                    self._greet(other, peer)
+                    self._greet(now, other, peer)
 
     def take(self) -> tuple[list[tuple[str, Message]], list[Told]]:
         """What to send and what was decided, since this was last called."""
--- a/mulleinhall/ingress.py
+++ b/mulleinhall/ingress.py
@@ -27,9 +27,10 @@
 from mulleinhall.transport.pool import Backends
 
 if TYPE_CHECKING:
+    from mulleinhall.parts import Part
+    from mulleinhall.parts.talking import Talk
+    from mulleinhall.parts.translating import Translator
     from mulleinhall.platform.operator import Operator
-    from mulleinhall.talking import Talk
-    from mulleinhall.translating import Translator
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +43,7 @@
         self.config, settings = config, config.settings
         self.translator: Translator | None = None
         if operator is not None and operator.dialects is not None:
-            from mulleinhall.translating import Translator
+            from mulleinhall.parts.translating import Translator
 
             self.translator = Translator(operator.dialects, config)
             settings = self.translator.settings
@@ -52,14 +53,25 @@
         self.gateway = Gateway(settings, config.seed)
         self.exchange = exchange = Exchange(self.gateway, settings, clock, wheel, config.most_open,
                                             config.most_held)
+        self.parts: list[Part] = []
         self.backends: Back
+        handing, ended = None, exchange.ended
+        if operator is not None and operator.handover is not None:
+            from mulleinhall.parts.handing import Handing
+
+            handing = Handing(config.name, operator.handover, clock, ended)
+            ended = handing.ended
+            self.parts.append(handing)
         if self.translator is not None:
-            self.backends = self.translator.back(clock, exchange.ended, wheel)
+            self.backends = self.translator.back(clock, ended, wheel)
             exchange.holds = self.translator.holds
         else:
             self.backends = Backends(
                 RespWire, config.backend_sockets, config.most_held, config.connect_timeout, config.idle_time,
-                settings.drain_grace, clock, exchange.ended, wheel)
+                settings.drain_grace, clock, ended, wheel)
+        if handing is not None:
+            handing.inner, handing.exchange = self.backends, exchange
+            self.backends = handing
         exchange.back = self.backends
         self.counter = exchange.counter = None if config.counter is None else Counter(
             config.counter, settings.counter_timeout, clock, exchange.feed)
@@ -69,26 +81,27 @@
         self.clients = Clients(make_talk(settings), config.listen, most, held, exchange, clock)
         self.listeners = [self.clients]
         for listener in further:
-            from mulleinhall.translating import talk
+            from mulleinhall.parts.translating import talk
 
             self.listeners.append(Clients(talk(listener.dialect, settings), listener.address, most, held,
                                           exchange, clock))
         self.watch: asyncio.Task[None] | None = None
         self.talk: Talk | None = None
         if operator is not None and operator.members is not None:
-            from mulleinhall.talking import Talk
+            from mulleinhall.parts.talking import Talk
 
             self.talk = Talk(config.name, operator.members, clock, config.seed, self.gateway,
                              lambda: (exchange.count, exchange.sent), exchange.feed)
+            self.parts.append(self.talk)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
         self.listed(api.ListKind.RESTORED, self.config.known)
+        for part in self.parts:
+            await part.open()
         for listener in self.listeners:
             listener.open()
         self._watch()
-        if self.talk is not None:
-            await self.talk.open()
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
         if self.talk is not None:
@@ -117,8 +130,8 @@
             "clients": sum(len(listener.connections) for listener in self.listeners)}
         if self.counter is not None:
             counts["quota"] = counter_report(self.gateway, self.clock())
-        if self.talk is not None:
-            counts["fleet"] = self.talk.counts()
+        for part in self.parts:
+            counts |= part.counts()
         return counts | (self.translator.counts() if self.translator is not None else {})
 
     def _watch(self) -> None:
--- /dev/null
+++ b/mulleinhall/lab/crew.py
@@ -0,0 +1,65 @@
+"""Ingresses that hand work over, with a link of the lab's on every way from one to another."""
+
+from __future__ import annotations
+
+import secrets
+import shlex
+from collections.abc import Iterable
+from pathlib import Path
+
+from mulleinhall.lab.ingresses import Ingress, free_ports
+from mulleinhall.lab.links import Link
+from mulleinhall.lab.world import World
+
+
+class Crew:
+    """Gives each ingress an operator's file with [handover]; to be made before they start."""
+
+    def __init__(self, world: World, folder: Path, stores: bool = False, **settings: float | bool) -> None:
+        self.ingresses: list[Ingress] = world.ingresses
+        self.folder, self.stores, self.settings = folder, stores, settings
+        self.real = [(i.host, free_ports(i.host, 1)[0]) for i in self.ingresses]
+        self.links = {(a, b): Link(world.clock, {}) for a in range(len(self.real))
+                      for b in range(len(self.real)) if a != b}
+
+    async def open(self) -> None:
+        keys = self.folder / "crew-keys"
+        keys.touch(mode=0o600)
+        keys.write_text(f"1 {secrets.token_hex(32)}\n", encoding="ascii")
+        led = {pair: await link.open(self.real[pair[1]]) for pair, link in self.links.items()}
+        for n, ingress in enumerate(self.ingresses):
+            addresses = {other.name: self.real[n] if m == n else led[n, m]
+                         for m, other in enumerate(self.ingresses)}
+            peers = ", ".join(f'"{name}" = "{host}:{port}"' for name, (host, port) in addresses.items())
+            rows = [f'address = "{self.real[n][0]}:{self.real[n][1]}"', f"peers = {{ {peers} }}",
+                    'keys = "crew-keys"']
+            rows += [f"{key} = {str(value).lower()}" for key, value in self.settings.items()]
+            if self.stores:
+                rows.append(f'store = "{self.store(n).name}"')
+            path = self.folder / f"crew-{n}.toml"
+            path.write_text("[handover]\n" + "\n".join(rows) + "\n", encoding="utf-8")
+            ingress.command += f" --operator {shlex.quote(str(path))}"
+
+    def store(self, number: int) -> Path:
+        return self.folder / f"store-{number}"
+
+    def part(self, one: Iterable[int], other: Iterable[int], both: bool = True) -> None:
+        """Connections from `one` to `other` are reset and refused, and back if `both`."""
+        for a in one:
+            for b in other:
+                if a != b:
+                    self.links[a, b].strike("cut")
+                    if both:
+                        self.links[b, a].strike("cut")
+
+    def slow(self, ms: float) -> None:
+        for link in self.links.values():
+            link.strike("delay", ms)
+
+    def mend(self) -> None:
+        for link in self.links.values():
+            link.strike("pass")
+
+    def close(self) -> None:
+        for link in self.links.values():
+            link.close()
--- a/mulleinhall/lab/voices.py
+++ b/mulleinhall/lab/voices.py
@@ -31,7 +31,8 @@
 
     @property
     def solution(self) -> bytes:
-        return b"a solution of " + self.id.encode()
+        """The same in each try of one submission."""
+        return b"a solution of " + (self.key or self.id).encode()
 
 
 @dataclass(slots=True)
--- a/mulleinhall/talking.py
+++ b/mulleinhall/parts/talking.py
@@ -94,17 +94,16 @@
         """A member that is gone refuses: the probes find out."""
 
     def counts(self) -> dict[str, Any]:
-        """What happened since the start; the names stay as they are."""
         members, said, now = self.mouth.members, self.mouth.said, self.clock()
         view, counts = said.last, members.counts
-        return {"there": len(members.alive()), "lost": members.lost(now, members.rhythm.buried),
+        return {"fleet": {"there": len(members.alive()), "lost": members.lost(now, members.rhythm.buried),
                 "health": members.health, "woken": counts.woken, "missed": counts.missed,
                 "suspected": counts.suspected,
                 "buried": counts.died, "refuted": counts.refuted, "sent": counts.sent,
                 "received": counts.received, "refused": self.refused, "dropped": self.dropped,
                 "views": said.views, "cuts": said.cuts, "alone": said.alone, "asleep": said.asleep,
                 "cut": round(view.cut, 3) if view else 0.0, "heard": view.heard if view else 0,
-                "shunned": sorted(self.mouth.looks.kept), "looks": asdict(self.mouth.looks.counts)}
+                "shunned": sorted(self.mouth.looks.kept), "looks": asdict(self.mouth.looks.counts)}}
 
     def close(self) -> None:
         """Leaves: some of the others are told at once."""
--- a/mulleinhall/platform/operator.py
+++ b/mulleinhall/platform/operator.py
@@ -15,6 +15,7 @@
 MOST_LISTENERS = 16
 MOST_SEEDS = 32
 MOST_KEYS = 8
+MOST_PEERS = 64
 
 
 class BadOperatorFile(BadConfig):
@@ -54,6 +55,28 @@
     period: float = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """Work in hand that survives its ingress.  `peers`: all instances by name, this one among them; `window`:
+    how long servers remember keys, at the least; `patience`: how long what is taken over may take.  Times are
+    seconds."""
+
+    file: Path
+    address: tuple[str, int]
+    peers: Mapping[str, tuple[str, int]]
+    keys: Mapping[int, bytes] = field(repr=False)
+    used: int = 0
+    copies: int = 2
+    window: float = 4.0
+    bound: float = 0.05
+    forget: float = 30.0
+    patience: float = 2.0
+    repeats: bool = True
+    take_rate: float = 50.0
+    most_bytes: int = 64 << 20
+    store: Path | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The file's tables; None or nothing for one that it does not have."""
@@ -61,6 +84,7 @@
     dialects: Dialects | None = None
     listeners: tuple[Listener, ...] = ()
     members: Membership | None = None
+    handover: Handover | None = None
 
 
 def read_operator(path: Path, servers: frozenset[str], clients: frozenset[str]) -> Operator:
@@ -77,10 +101,12 @@
         raise BadOperatorFile(f"{path}: not UTF-8: {error.reason}") from None
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise BadOperatorFile(f"{path}: not TOML: {error}") from None
-    _known(f"{path}", table, ("dialects", "listener", "members"))
+    _known(f"{path}", table, ("dialects", "listener", "members", "handover"))
     dialects = _dialects(f"{path}: dialects", table["dialects"], servers) if "dialects" in table else None
     members = _members(f"{path}: members", table["members"], path.parent) if "members" in table else None
-    return Operator(dialects, _listeners(f"{path}: listener", table.get("listener", []), clients), members)
+    handover = _handover(path, table["handover"]) if "handover" in table else None
+    return Operator(dialects, _listeners(f"{path}: listener", table.get("listener", []), clients), members,
+                    handover)
 
 
 def _known(where: str, table: Any, allowed: tuple[str, ...]) -> None:
@@ -139,6 +165,48 @@
     return Membership(address, advertise, seeds, keys, next(iter(keys)), float(period))
 
 
+FIGURES: Mapping[str, tuple[float, float, float]] = {  # usual, least, most
+    "copies": (2, 1, 2), "window_s": (4.0, 0.5, 3600.0), "bound_ms": (50.0, 1.0, 1000.0),
+    "forget_s": (30.0, 1.0, 30.0), "patience_s": (2.0, 0.1, 60.0), "take_per_s": (50.0, 0.0, 10_000.0),
+    "most_mb": (64, 1, 4096)}
+
+
+def _handover(path: Path, table: Any) -> Handover:
+    where = f"{path}: handover"
+    _known(where, table, ("address", "peers", "keys", "store", "repeats", *FIGURES))
+    figures: dict[str, float] = {}
+    for key, (usual, least, most) in FIGURES.items():
+        value = table.get(key, usual)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+            raise BadOperatorFile(f"{where}: {key}: {value!r} is not a number from {least:g} to {most:g}")
+        figures[key] = value
+    for key in ("copies", "most_mb"):
+        if figures[key] != int(figures[key]):
+            raise BadOperatorFile(f"{where}: {key}: {figures[key]!r} is not a whole number")
+    peers = table.get("peers")
+    if not isinstance(peers, dict) or not 1 <= len(peers) <= MOST_PEERS:
+        raise BadOperatorFile(f"{where}: peers: not a table of 1 to {MOST_PEERS} names with addresses")
+    if len(peers) < 2 * figures["copies"] - 1:
+        raise BadOperatorFile(f"{where}: peers: {len(peers)} are too few for copies = {figures['copies']:g}, "
+                              f"which needs {2 * figures['copies'] - 1:g}")
+    if figures["forget_s"] < 2 * figures["window_s"]:
+        raise BadOperatorFile(f"{where}: forget_s: {figures['forget_s']:g} is less than two windows of "
+                              f"{figures['window_s']:g} s")
+    if not isinstance(table.get("repeats", True), bool):
+        raise BadOperatorFile(f"{where}: repeats: {table['repeats']!r} is neither true nor false")
+    if not isinstance(table.get("keys"), str):
+        raise BadOperatorFile(f"{where}: keys: the name of a file is missing")
+    if not isinstance(table.get("store", ""), str):
+        raise BadOperatorFile(f"{where}: store: not the name of a folder")
+    keys = _keys(f"{where}: keys", path.parent / table["keys"])
+    return Handover(
+        path, _address(where, table, "address"),
+        {name: _address(f"{where}: peers", peers, name) for name in peers}, keys, next(iter(keys)),
+        int(figures["copies"]), figures["window_s"], figures["bound_ms"] / 1000, figures["forget_s"],
+        figures["patience_s"], table.get("repeats", True), figures["take_per_s"],
+        int(figures["most_mb"]) << 20, path.parent / table["store"] if "store" in table else None)
+
+
 def _keys(where: str, path: Path) -> dict[int, bytes]:
     """Lines of a number and a key in hexadecimal; the first is sealed with, all are opened with.  No word of
     a key is ever said."""
--- a/mulleinhall/service.py
+++ b/mulleinhall/service.py
@@ -43,8 +43,8 @@
         return None
     if len(arguments) != 2 or arguments[0] != "--operator":
         raise BadConfig("usage: python -m mulleinhall [--version | --operator FILE]")
+    from mulleinhall.parts.translating import CLIENT_DIALECTS, SERVER_DIALECTS
     from mulleinhall.platform.operator import read_operator
-    from mulleinhall.translating import CLIENT_DIALECTS, SERVER_DIALECTS
 
     return read_operator(Path(arguments[1]), SERVER_DIALECTS, CLIENT_DIALECTS)
 
--- a/mulleinhall/transport/pool.py
+++ b/mulleinhall/transport/pool.py
@@ -300,8 +300,15 @@
 
     def _write(self, connection: Connection, attempt: Attempt) -> None:
         assert connection.transport is not None
+        left = attempt.deadline - self.clock()
+        if left <= 0:
+            # Guards against a write after the time in which it does no harm: this process stood still, and
+            # the timer has not been served yet.
+            self.release(connection)
+            self.end(attempt, Outcome.CONNECT_FAILED)
+            return
         try:
-            data = connection.wire.send(attempt.call, attempt.deadline - self.clock())
+            data = connection.wire.send(attempt.call, left)
         except Exception as error:
             # Guards against a call that this protocol has no words for: no other backend of it has them.
             if not isinstance(error, ValueError) or isinstance(error, UnicodeError):
@@ -314,6 +321,8 @@
         attempt.carrier, connection.attempt = connection, attempt
         connection.rested = self.clock() - connection.idle_since if connection.idle_since else 0.0
         connection.transport.write(data)
+        if attempt.written is not None:
+            attempt.written(attempt)
 
     def _closed(self, target: Target) -> bool:
         return target.closes is not None and self.clock() >= target.closes
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import base64
+import errno
 import json
 import os
+import signal
 import sys
+import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 from uuid import UUID, uuid4
@@ -20,6 +24,7 @@
 from mulleinhall.dialects.groups import Grouping
 from mulleinhall.dialects.keys import uuid_of
 from mulleinhall.ingress import Ingress
+from mulleinhall.resp.back import RespWire
 from mulleinhall.retries.holds import Holds
 
 EVERY = 15  # requests: how often the fault shows
@@ -255,7 +260,153 @@
     "no_ceiling": [(Ingress, "__init__", no_ceiling)], "alone": [(Ingress, "__init__", alone)],
 }
 
-ACTS = {"unbounded": believes_all, "older": older, "all_look": all_look, "believes_old": believes_old}
+TESTED = "7e57"  # begins the keys of submissions that a test looks at
+
+
+def at_step(step: str, act: Callable[[], None]) -> None:
+    """Does it at one step of the life of a tested submission that a client brought."""
+    from mulleinhall.handover.node import Verdict
+    from mulleinhall.parts.handing import Handing
+
+    def tested(attempt: Any) -> bool:
+        return attempt is not None and attempt.call.key.startswith(TESTED) and (
+            not attempt.call.id.startswith(b"takeover"))
+
+    def pushed(self: Any) -> None:
+        for mouth in self.wires.mouths.values():
+            mouth.flush()
+
+    def send(self: Any, call: Call, left: float) -> bytes:
+        """The last look was before this, and the write comes right after."""
+        if step == "writing" and call.key.startswith(TESTED) and not call.id.startswith(b"takeover"):
+            act()
+        return real_send_words(self, call, left)
+
+    real_send_words = RespWire.send
+    setattr(RespWire, "send", send)  # noqa: B010
+    real_start, real_flush, real_verdict = Handing.start, Handing._flush, Handing._verdict
+    real_written, real_done = Handing._written, Handing.ended
+
+    def start(self: Any, attempt: Any) -> None:
+        real_start(self, attempt)
+        if step == "opened" and tested(attempt):
+            act()
+
+    def flush(self: Any) -> None:
+        real_flush(self)
+        if step == "asked" and any(map(tested, self.waiting.values())):
+            pushed(self)
+            act()
+
+    def verdict(self: Any, told: Any) -> None:
+        attempt = self.waiting.get(told.op)
+        if step == "granted" and tested(attempt) and told.verdict is Verdict.GO:
+            act()
+        if step == "repeating" and tested(attempt) and told.until < 1e300:
+            act()
+        real_verdict(self, told)
+
+    def written(self: Any, attempt: Any) -> None:
+        if step == "written" and tested(attempt):
+            act()
+        real_written(self, attempt)
+
+    def ended(self: Any, attempt: Any, outcome: Any, value: Any, load: Any) -> None:
+        if step == "answered" and value is not None and tested(attempt):
+            act()
+        if step == "told" and value is not None and tested(attempt):
+            told, self.told_of = self.told_of, lambda *rest: None
+            real_done(self, attempt, outcome, value, load)
+            real_flush(self)
+            pushed(self)
+            act()
+            self.told_of = told
+            told(attempt, outcome, value, load)
+        else:
+            real_done(self, attempt, outcome, value, load)
+
+    for name, method in (("start", start), ("_flush", flush), ("_verdict", verdict), ("_written", written),
+                         ("ended", ended)):
+        setattr(Handing, name, method)
+
+
+def die() -> None:
+    os.kill(os.getpid(), signal.SIGKILL)
+
+
+def stop() -> None:
+    os.kill(os.getpid(), signal.SIGSTOP)
+
+
+def lying_disk(how: str) -> None:
+    """The store's disk: `yes` syncs without syncing, and loses all since at a kill; `eio` and `enospc` fail
+    from the third sync or write on; `slow` takes 10 s for one."""
+    from mulleinhall.store import disk
+
+    real_write, real_sync = disk.RealFile.write, disk.RealFile.sync
+    calls = {"sync": 0, "write": 0}
+
+    def write(self: Any, data: bytes) -> None:
+        calls["write"] += 1
+        if how == "enospc" and calls["write"] > 3:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        if how != "yes" or calls["write"] <= 3:
+            real_write(self, data)
+
+    def sync(self: Any) -> None:
+        calls["sync"] += 1
+        if how == "eio" and calls["sync"] > 3:
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        if how == "slow" and calls["sync"] == 4:
+            time.sleep(10.0)
+        real_sync(self)
+
+    setattr(disk.RealFile, "write", write)  # noqa: B010
+    setattr(disk.RealFile, "sync", sync)  # noqa: B010
+
+
+def no_fence() -> None:
+    """Holds what may yet be written for something that is not."""
+    from mulleinhall.handover.table import TABLE, Ask, Phase, Step, Whose
+
+    TABLE[Phase.HELD, Ask.OPEN, Whose.SILENT] = Step.GRANT
+
+
+def acknowledges_first() -> None:
+    """Says that a copy is kept before the store has it, and takes whatever a store holds for all."""
+    from mulleinhall.handover.node import Node
+    from mulleinhall.parts.handing import Handing
+
+    real_node = Node.__init__
+
+    def init(self: Any, *args: Any, **more: Any) -> None:
+        real_node(self, *args, **more)
+        if self.recovered:
+            self.keeper.until = 0.0
+
+    setattr(Node, "__init__", init)  # noqa: B010
+    setattr(Handing, "_keep", lambda self: self._release([  # noqa: B010
+        self.pending.pop() for _ in range(len(self.pending))]))
+
+
+def forgets_the_window() -> None:
+    from mulleinhall.handover import node
+
+    real_weigh = node.weigh
+    vars(node)["weigh"] = lambda rules, op, now: real_weigh(replace(rules, window=1e6), op, now)
+
+
+def anyones_answer() -> None:
+    """Gives a kept answer to whoever asks."""
+    from mulleinhall.parts import handing
+
+    vars(handing)["name_of"] = lambda customer, request_class, key: b"one for all keys"
+    vars(handing)["digest_of"] = lambda body: b""
+
+
+ACTS = {"no_fence": no_fence, "acknowledges_first": acknowledges_first, "anyones_answer": anyones_answer,
+        "forgets_the_window": forgets_the_window,
+        "unbounded": believes_all, "older": older, "all_look": all_look, "believes_old": believes_old}
 
 
 if __name__ == "__main__":
@@ -267,6 +418,10 @@
         tells(figures)
     elif fault in ACTS:
         ACTS[fault]()
+    elif fault in ("dies", "stops"):
+        at_step(figures, die if fault == "dies" else stop)
+    elif fault == "disk":
+        lying_disk(figures)
     elif fault == "ahead":
         ahead(figures)
     for owner, name, replacement in FAULTS.get(fault, []):
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -21,7 +21,7 @@
 Patch = pytest.MonkeyPatch
 real_weigh, real_receive, real_say, real_init = node.weigh, Node.receive, Keeper._say, Node.__init__
 real_ended, real_note, real_learn, real_asked = Node.ended, Keeper._note, Keeper.learn, Keeper.asked
-real_put = Keeper._put
+real_put = Keeper.put
 
 
 def one_is_enough(p: Patch) -> None:
@@ -37,14 +37,14 @@
     def put(self: Keeper, name: bytes, record: Any) -> None:
         real_put(self, name, replace(record, phase=Phase.SENT) if record.phase is Phase.HELD else record)
 
-    p.setattr(Keeper, "_put", put)
+    p.setattr(Keeper, "put", put)
 
 
 def release_forgets(p: Patch) -> None:
     def put(self: Keeper, name: bytes, record: Any) -> None:
         real_put(self, name, replace(record, prior=Phase.FREE, before=keeper.NOBODY))
 
-    p.setattr(Keeper, "_put", put)
+    p.setattr(Keeper, "put", put)
 
 
 def forgetful_and_sure(p: Patch) -> None:
@@ -100,7 +100,7 @@
     def put(self: Keeper, name: bytes, record: Any) -> None:
         real_put(self, name, replace(record, since=record.at))
 
-    p.setattr(Keeper, "_put", put)
+    p.setattr(Keeper, "put", put)
 
 
 FAULTS = [one_is_enough, taken_from_the_silent, sent_before_it_is, release_forgets, forgetful_and_sure,
--- a/tests/test_members_settings.py
+++ b/tests/test_members_settings.py
@@ -71,6 +71,6 @@
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
     script = ("import sys, mulleinhall.ingress, mulleinhall.service\n"
               "assert not [n for n in sys.modules if n.startswith(('msgspec', 'mulleinhall.members', "
-              "'mulleinhall.talking', 'mulleinhall.fleet', 'mulleinhall.overload.mouth'))]")
+              "'mulleinhall.parts.talking', 'mulleinhall.fleet', 'mulleinhall.overload.mouth'))]")
     subprocess.run([sys.executable, "-c", script], check=True, timeout=60,
                    cwd=Path(__file__).resolve().parent.parent)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -19,9 +19,9 @@
 from mulleinhall.core.fan import Fan
 from mulleinhall.http.wire import HttpWire
 from mulleinhall.ingress import Ingress
+from mulleinhall.parts.translating import CLIENT_DIALECTS, SERVER_DIALECTS, Translator
 from mulleinhall.platform.discovery import read_listing
 from mulleinhall.platform.operator import BadOperatorFile, Dialects, Operator, read_operator
-from mulleinhall.translating import CLIENT_DIALECTS, SERVER_DIALECTS, Translator
 from tests.peers import SETTINGS, Caller, Peer, backend, command, config, entry, run, until, value
 from tests.test_http_wire import h11_server, problem, response
 from tests.test_ingress import Stub
@@ -94,8 +94,9 @@
 def test_without_the_file_nothing_of_it_is_imported() -> None:
     code = ("import sys, mulleinhall.__main__, mulleinhall.service; "
             "print([m for m in sys.modules if m.startswith(('mulleinhall.dialects', 'mulleinhall.http', "
-            "'mulleinhall.translating', 'mulleinhall.platform.operator', 'mulleinhall.lab', 'httptools', "
-            "'tomllib', 'argparse'))])")
+            "'mulleinhall.parts', 'mulleinhall.platform.operator', 'mulleinhall.lab', 'httptools', "
+            "'mulleinhall.handover', 'mulleinhall.store', 'mulleinhall.members', 'msgspec', 'tomllib', "
+            "'argparse'))])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
