--- /dev/null
+++ b/benchmarks/takeover.py
@@ -0,0 +1,181 @@
+"""What handover brings and costs, with real ingresses, kills drawn from seeds, and stand-ins for all else.
+
+    python -m benchmarks.takeover outcomes --seeds 30
+    python -m benchmarks.takeover cost --rounds 5
+
+outcomes: of the submissions in hand at the loss of an ingress, the share whose client got the true outcome
+within its next repeat, with and without handover; for clients that come back soon, and after the servers'
+memory of keys has ended.  cost: a submission's time and the ingresses' CPU, interleaved.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+import uvloop
+
+from mulleinhall.lab.crew import Crew
+from mulleinhall.lab.deployment import Deployment
+from mulleinhall.lab.measure import percentile
+from mulleinhall.lab.referee import judge
+from mulleinhall.lab.scenario import Scenario
+from mulleinhall.lab.world import World
+from tests.submitters import Got, Yard
+
+INGRESSES = 5
+IN_HAND = 12  # submissions out at the ingress that is lost
+WAYS: dict[str, dict[str, Any] | None] = {
+    "off": None, "copies 1": {"copies": 1}, "copies 2": {"copies": 2}, "copies 2, store": {"copies": 2}}
+
+
+async def stand(name: str, seed: int, case: Any, rate: float) -> tuple[World, Any]:
+    way = WAYS[name]
+    with tempfile.TemporaryDirectory(prefix="takeover-") as folder:
+        deployment = Deployment(ingresses=INGRESSES, servers=4, rate=rate, busy=0.2)
+        world = World(Scenario("takeover", 1.0, seed, deployment), Path(folder),
+                      f"exec {sys.executable} -m mulleinhall")
+        crew = Crew(world, Path(folder), "store" in name, forget_s=8.0, **(way or {}))
+        try:
+            if way is not None:
+                await crew.open()
+            await world.open()
+            yard = Yard(world, crew)
+            if way is not None:
+                await yard.whole()
+            playing = asyncio.create_task(world.play())
+            result = await case(yard)
+            await playing
+        finally:
+            await world.close()
+            crew.close()
+    return world, result
+
+
+async def losses(yard: Yard, seed: int, late: bool, two: bool) -> Counter[str]:
+    """Kills or stops an ingress, or two, with submissions in hand; what the clients get."""
+    rng, found = random.Random(f"losses {seed} {late} {two}"), Counter[str]()
+    lost = rng.sample(range(INGRESSES), 2 if two else 1)
+    left = [n for n in range(INGRESSES) if n not in lost]
+    yard.slow(25.0)
+    keys = [yard.key() for _ in range(IN_HAND)]
+    tries = [asyncio.create_task(yard.ask(rng.choice(lost), key)) for key in keys]
+    await yard.event(lambda: sum(bool(yard.arrivals(key)) for key in keys) >= 2 * IN_HAND // 3, "too few out")
+    out = [key for key in keys if yard.arrivals(key)]
+    stopped = rng.random() < 0.3
+    for number in lost:
+        (yard.freeze if stopped else yard.kill)(number)
+    yard.slow(1.0)
+    await asyncio.sleep(5.0 if late else 0.3)
+    # The clients of one that stands still go away, those of one that died see it at once.
+    sent = {key: len(yard.arrivals(key)) for key in out}
+
+    async def come_back(key: str) -> None:
+        got: Got = await yard.insist(rng.choice(left), key, 2.5)
+        true = got.kind == "served" and got.value in yard.values(key) and yard.effects(key) == 1
+        found["true" if true else got.kind] += 1
+        found["twice"] += yard.effects(key) > 1
+        found["stopped" if stopped else "killed"] += 1
+        found["sent again"] += len(yard.arrivals(key)) > sent[key]
+
+    await asyncio.gather(*map(come_back, out))
+    if stopped:
+        for number in lost:
+            yard.thaw(number)
+    await asyncio.gather(*tries)
+    found["twice later"] += sum(yard.effects(key) > 1 for key in out)
+    return found
+
+
+async def submissions(yard: Yard, count: int, side: int) -> tuple[list[float], float]:
+    """Seconds of each, and the ingresses' CPU seconds; `side` at one time."""
+    def cpu() -> float:
+        for ingress in yard.world.ingresses:
+            ingress.sample()
+        return sum(ingress.cpu for ingress in yard.world.ingresses)
+
+    took: list[float] = []
+
+    async def one(number: int) -> None:
+        for _ in range(count // side):
+            key, start = yard.key(), time.perf_counter()
+            got = await yard.ask(number % INGRESSES, key)
+            if got.kind == "served":
+                took.append(time.perf_counter() - start)
+
+    before = cpu()
+    await asyncio.gather(*map(one, range(side)))
+    return took, cpu() - before
+
+
+def outcomes(args: argparse.Namespace) -> list[dict[str, Any]]:
+    rows = []
+    for two in (False, True):
+        for late in (False, True):
+            for name in ("off", "copies 2"):
+                total, breaches = Counter[str](), 0
+                for seed in range(1, args.seeds + 1):
+                    world, found = uvloop.run(stand(
+                        name, seed, lambda yard, s=seed, w=late, t=two: losses(yard, s, w, t), 20.0))
+                    total += found
+                    breaches += len(judge(world.record, world.deployment).breaches)
+                    print(f"\r{1 + two} lost, {name}, {'late' if late else 'soon'}: seed {seed} ",
+                          end="", file=sys.stderr, flush=True)
+                hand = total["killed"] + total["stopped"]
+                rows.append({"lost": 1 + two, "way": name,
+                             "comes back": "after 5 s" if late else "after 0.3 s",
+                             "in hand": hand, "true": round(total["true"] / max(1, hand), 3),
+                             "breaches": breaches, **dict(total)})
+    return rows
+
+
+def cost(args: argparse.Namespace) -> list[dict[str, Any]]:
+    found: dict[str, list[tuple[float, float, float]]] = {name: [] for name in WAYS}
+    for number in range(args.rounds):
+        for name in WAYS:
+            _, (took, cpu) = uvloop.run(stand(
+                name, number, lambda yard: submissions(yard, args.count, 10), 5.0))
+            took.sort()
+            found[name].append((1000 * percentile(took, 0.5), 1000 * percentile(took, 0.99),
+                                1e6 * cpu / max(1, len(took))))
+            print(f"\rround {number + 1}: {name}", end="", file=sys.stderr, flush=True)
+    rows = []
+    for name, runs in found.items():
+        p50, p99, cpu = (median(x) for x in zip(*runs, strict=True))
+        ratios = [median(a / b for a, b in zip(mine, base, strict=True)) for mine, base in zip(
+            zip(*runs, strict=True), zip(*found["off"], strict=True), strict=True)]
+        rows.append({"way": name, "p50_ms": round(p50, 2), "p99_ms": round(p99, 2), "cpu_us": round(cpu),
+                     "to off": [round(r, 2) for r in ratios]})
+    return rows
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("what", choices=["outcomes", "cost"])
+    parser.add_argument("--seeds", type=int, default=30)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--count", type=int, default=1500, help="submissions of a round")
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    rows = (outcomes if args.what == "outcomes" else cost)(args)
+    print(file=sys.stderr)
+    for row in rows:
+        print(json.dumps(row) if args.json else "  ".join(f"{k} {v}" for k, v in row.items()))
+    return 0
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        sys.exit(130)
--- a/mulleinhall/handover/messages.py
+++ b/mulleinhall/handover/messages.py
@@ -62,8 +62,8 @@
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=3):
     """Who is there, several times a second.  `disk` and `kept`: the store that the sender's records are in,
-    and up to which position they are safe; `your_life`, `your_disk`, `yours`: the greatest that it knows of
-    the receiver's."""
+    and up to which position they are safe; `your_life`: the greatest that it knows
+    of the receiver's; `your_disk`, `yours`: the store and the position of the receiver's process before."""
 
     speaks: int
     life: int
--- a/mulleinhall/handover/node.py
+++ b/mulleinhall/handover/node.py
@@ -81,6 +81,7 @@
     life: int = 0
     disk: bytes = b""
     kept: int = 0
+    before: tuple[bytes, int] = (b"", 0)  # the two as its earlier process left them
     vouches: bool | None = None  # whether it knows our store up to no more than what we have of it
     learnt: bool = False  # it has told us all its records since our start
     asked: float = -1e18  # when we asked it for them
@@ -219,7 +220,8 @@
 
     def _hello(self, now: float, peer: Peer, hello: Hello) -> None:
         if hello.life > peer.life:
-            peer.life = hello.life
+            # What its earlier processes had told is what it is held against, not what this one tells.
+            peer.life, peer.before = hello.life, (peer.disk, peer.kept)
         if hello.disk != peer.disk:
             peer.disk, peer.kept = hello.disk, hello.kept
         peer.kept = max(peer.kept, hello.kept)
@@ -263,8 +265,8 @@
         if not whole and not peer.learnt and now - peer.asked >= LEARN_AGAIN:
             peer.asked = now
             self.out.append((other, Learn(self.life)))
-        self.out.append((other, Hello(FORMAT, self.life, self.disk, self.kept, whole, peer.life, peer.disk,
-                                      peer.kept)))
+        self.out.append((other, Hello(FORMAT, self.life, self.disk, self.kept, whole, peer.life,
+                                      *peer.before)))
 
     def silent(self, now: float, other: str) -> bool:
         """Dead, parted or frozen, which can't be told."""
--- a/mulleinhall/lab/crew.py
+++ b/mulleinhall/lab/crew.py
@@ -17,6 +17,7 @@
 
     def __init__(self, world: World, folder: Path, stores: bool = False, **settings: float | bool) -> None:
         self.ingresses: list[Ingress] = world.ingresses
+        world.record.hands_over = True
         self.folder, self.stores, self.settings = folder, stores, settings
         self.real = [(i.host, free_ports(i.host, 1)[0]) for i in self.ingresses]
         self.links = {(a, b): Link(world.clock, {}) for a in range(len(self.real))
--- a/mulleinhall/lab/record.py
+++ b/mulleinhall/lab/record.py
@@ -109,6 +109,7 @@
     lags: list[tuple[float, float]] = field(default_factory=list)  # when, and how late the machine was
     # When it was read, which ingress, and for how long since the last reading it stood ready and got no core.
     starved: list[tuple[float, int, float]] = field(default_factory=list)
+    hands_over: bool = False  # whether ingresses may send what a lost one had in hand
 
     def lag(self, at: float, before: float = 2.0, after: float = 0.3) -> float:
         """How late the machine can have made something at that moment, in seconds: the worst lateness round
--- a/mulleinhall/lab/referee.py
+++ b/mulleinhall/lab/referee.py
@@ -10,6 +10,8 @@
 from mulleinhall.lab.deployment import Deployment, Plan
 from mulleinhall.lab.record import Arrival, Life, Record, Start, Told, Try
 
+Submission = tuple[str, str, str]
+"""Customer, class and key."""
 RULES = ("answer", "effect", "drain", "cold", "ceiling")
 CROSSING = 0.05  # s: an idle connection that ends so soon after a request was written had ended before it
 CHANCE = 4.0  # mean requests that a cold server takes beyond its budget before it falls
@@ -58,7 +60,7 @@
     for arrival in sorted(record.arrivals, key=lambda a: a.at):
         by_id[arrival.id].append(arrival)
     found = [*_answers(record, by_id, deployment), *_effects(record, by_id, deployment),
-             *_submissions(record, by_id),
+             *_submissions(record, by_id), *_taken_over(record, by_id),
              *_drains(record, deployment), *_cold(record, deployment), *_ceilings(by_id, deployment)]
     verdict = Verdict(over_quota=_quotas(by_id, deployment))
     for breach in sorted(found, key=lambda b: b.at):
@@ -78,6 +80,10 @@
 
 def _answers(record: Record, by_id: dict[str, list[Arrival]], deployment: Deployment) -> Iterable[Breach]:
     slack = deployment.answer_slack
+    kept: dict[Submission, set[bytes]] = defaultdict(set)
+    for a in record.arrivals:
+        if a.key and a.value:
+            kept[a.customer, a.request_class, a.key].add(a.value)
     for x in record.tries:
         life, limit = _life(record, x.ingress, x.sent), x.sent + x.patience + slack
         end = min(x.answered, x.ended)
@@ -88,6 +94,8 @@
         if x.extra:
             yield breach(x.answered, f"{x.extra} bytes came behind the final answer")
         made = {a.value for a in by_id[x.id] if a.value}
+        if x.key:  # a client's own repeat may be told what an earlier try came to, and that alone
+            made |= kept[x.customer, x.request_class, x.key]
         if x.kind == "served" and x.value not in made:
             yield breach(x.answered, "served with what no grid server made for it")
         if x.kind:
@@ -178,6 +186,24 @@
                          "served, and in no server's book")
 
 
+def _taken_over(record: Record, by_id: dict[str, list[Arrival]]) -> Iterable[Breach]:
+    """What comes under an id that no client sent was taken over from a lost ingress: a keyed submission that
+    a client did send, which has run or not, and whose units are not taken once more."""
+    if not record.hands_over:
+        return
+    ids = {tried.id for tried in record.tries}
+    asked = {(tried.customer, tried.request_class, tried.key) for tried in record.tries}
+    for name, arrivals in by_id.items():
+        for x in arrivals if name not in ids else ():
+            if not x.key:
+                yield Breach("effect", x.at, x.id, x.customer, "taken over without a key")
+            elif (x.customer, x.request_class, x.key) not in asked:
+                yield Breach("effect", x.at, x.id, x.customer, "taken over though no client asked for it")
+            if x.units:
+                yield Breach("ceiling", x.at, x.id, x.customer,
+                             f"{x.units:g} units taken once more by whoever took it over")
+
+
 def submissions(record: Record, by_id: dict[str, list[Arrival]]) -> dict[int, list[Arrival]]:
     """What came of each keyed submission, a client's repeats with the first try, by that one's number."""
     found: dict[int, list[Arrival]] = defaultdict(list)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -605,6 +605,9 @@
         job.out.pop(event.attempt, None)
         if event.outcome.never_ran:
             job.maybe.remove((server, sent))
+        if event.outcome is api.Outcome.MOOT and event.finished and job.inside and not job.maybe:
+            customer.settle(-job.units)  # it was answered without a backend: it cost none of the quota
+            self.untold[customer.key] = customer
         if event.outcome is api.Outcome.OK:
             server.failures, server.unreachable, server.turned, server.shunned = 0, False, 0, 0.0
             server.answered(now, event.latency, self.fleet.mean(job.cls), job.cls.aim)
--- a/mulleinhall/parts/handing.py
+++ b/mulleinhall/parts/handing.py
@@ -88,8 +88,8 @@
         if self.store is not None:
             life = max(life, rows.recover(keeper, self.store.rows, now, rules.window) + 1)
             self.store.put(rows.LIFE, life.to_bytes(8, "big"))
-        self.node = Node(name, life, tuple(sorted(setting.peers)), rules, now, keeper,
-                         self.store.disk if self.store else b"", self.store.position if self.store else 0)
+        disk_id, position = (self.store.disk, self.store.found.position) if self.store else (b"", 0)
+        self.node = Node(name, life, tuple(sorted(setting.peers)), rules, now, keeper, disk_id, position)
         keeper.changed.clear()
         self.taker = Taker(self.node, setting.take_rate)
         self.wires = Wires(name, setting.address, setting.peers, setting.keys, setting.used, self._heard,
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -205,3 +205,25 @@
         0.55 * max(0.0, 1 - 3 * 1.2 / 3) + 0.2 * 1.0 + 0.25 * max(0.0, 1 - 3 * 1.2 / 3))
     inside = measure(Record(tries[:3], arrivals[:3], lives=[Life(0, 0.0)]), asked[:3], D)
     assert inside.service == pytest.approx(1.0) and inside.p50_ms == pytest.approx(100.0)
+
+
+@pytest.mark.parametrize(("changes", "words"), [
+    ({}, ""), ({"units": 1.0}, "ceiling 1 units taken once more"),
+    ({"key": ""}, "effect taken over without a key"),
+    ({"key": "k2"}, "effect taken over though no client asked for it")])
+def test_what_is_taken_over_is_a_submission_that_a_client_asked_for_and_costs_no_units(
+        changes: dict[str, Any], words: str) -> None:
+    mine = replace(tried(cls="solution-submit"), key="k1")
+    first = came(request_class="solution-submit", key="k1", effect=True)
+    again = came(10.2, 10.3, id="takeover-1", request_class="solution-submit", value=b"w", **{
+        "key": "k1", "units": 0.0, **changes})
+    breaches = found(mine, arrivals=(first, again), hands_over=True)
+    assert breaches == [] if not words else any(words in b for b in breaches), breaches
+
+
+def test_a_repeat_is_told_what_its_submission_came_to_and_no_other() -> None:
+    first = came(request_class="solution-submit", key="k1", effect=True, value=b"mine")
+    other = came(id="r0", request_class="solution-submit", key="k2", effect=True, value=b"other")
+    repeat = replace(tried(cls="solution-submit", value=b"mine"), id="r2", key="k1")
+    assert found(repeat, arrivals=(first, other)) == []
+    one(found(replace(repeat, value=b"other"), arrivals=(first, other)), "no grid server made for it")
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+import mulleinhall.interface as api
 from mulleinhall.interface import (
     Count,
     CounterReply,
@@ -15,7 +16,7 @@
     SetTimer,
     Timer,
 )
-from mulleinhall.logic import LEAST_ASKED
+from mulleinhall.logic import LEAST_ASKED, Gateway
 from mulleinhall.quota import names
 from mulleinhall.quota.evidence import Known
 
@@ -226,3 +227,15 @@
     play.gateway.ask_share = 1.0
     assert not sends(play.ask(spread=spread, first=first))
     assert sends(play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, 1.0, 0.001)))
+
+
+def test_what_is_answered_without_a_backend_costs_no_quota() -> None:
+    """A client that is told to come back, as its submission is in hand elsewhere, pays for no such try."""
+    plan = api.Plan("base", rate=0.01, burst=3.0)
+    gateway = Gateway(api.Settings((api.RequestClass("grid-fetch", aim=1.5, deadline=4.0),), (plan,)), seed=1)
+    gateway.handle(0.0, api.BackendsChanged(api.ListKind.RESTORED, (api.Backend("s1"), api.Backend("s2"))))
+    for number in range(20):
+        sent = [a for a in gateway.handle(1.0, api.Request(
+            str(number), "grid-fetch", "base", "c", time_left=4.0)) if isinstance(a, api.Send)]
+        assert sent, number
+        gateway.handle(1.0, api.AttemptEnded(str(number), 0, sent[0].backend, api.Outcome.MOOT, 0.0, True))
