--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -46,6 +46,23 @@
     "off": None, "copies 1": {"copies": 1}, "copies 2": {"copies": 2}, "copies 2, store": {"copies": 2}}
 
 
+START = """
+import resource, sys, time
+from pathlib import Path
+from mulleinhall.handover import rows
+from mulleinhall.handover.keeper import Keeper
+from mulleinhall.store.disk import RealDisk
+from mulleinhall.store.log import Store
+
+def mb():
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+before, start, keeper = mb(), time.perf_counter(), Keeper()
+rows.recover(keeper, Store(RealDisk(Path(sys.argv[1])), "bench").rows, time.time(), 4.0)
+print(len(keeper.records), time.perf_counter() - start, mb() - before)
+"""
+
+
 async def stand(name: str, seed: int, case: Any, rate: float) -> tuple[World, Any]:
     way = WAYS[name]
     with tempfile.TemporaryDirectory(prefix="takeover-") as folder:
@@ -178,15 +195,8 @@
         store.commit()
         store.close()
         # What is measured is a process of its own, as a start is.
-        code = ("import resource, sys, time; from pathlib import Path; from mulleinhall.handover import rows; "
-                "from mulleinhall.handover.keeper import Keeper; from mulleinhall.store.disk import RealDisk; "
-                "from mulleinhall.store.log import Store; "
-                "mb = lambda: resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024; "
-                "before, start = mb(), time.perf_counter(); keeper = Keeper(); "
-                "store = Store(RealDisk(Path(sys.argv[1])), 'bench'); "
-                "rows.recover(keeper, store.rows, time.time(), 4.0); "
-                "print(len(keeper.records), time.perf_counter() - start, mb() - before)")
-        done = subprocess.run([sys.executable, "-c", code, folder], capture_output=True, text=True, check=True)
+        done = subprocess.run([sys.executable, "-c", START, folder], capture_output=True, text=True,
+                              check=True)
     count, seconds, memory = done.stdout.split()
     return [{"records": int(count), "s": round(float(seconds), 2), "MB": round(float(memory))}]
 
