--- a/mulleinhall/store/disk.py
+++ b/mulleinhall/store/disk.py
@@ -26,6 +26,9 @@
     def lock(self) -> bool:
         """Takes the folder for this process; False: another one has it."""
 
+    def release(self) -> None:
+        """Lets the folder go."""
+
     def names(self) -> list[str]: ...
 
     def read(self, name: str) -> bytes: ...
@@ -71,6 +74,11 @@
             return False
         return True
 
+    def release(self) -> None:
+        if self.locked >= 0:
+            os.close(self.locked)
+            self.locked = -1
+
     def names(self) -> list[str]:
         return sorted(path.name for path in self.folder.iterdir() if path.name != "lock")
 
--- a/mulleinhall/store/log.py
+++ b/mulleinhall/store/log.py
@@ -280,3 +280,4 @@
             self.commit()
             self.file.close()
         self.failed = self.failed or "closed"
+        self.on.release()
--- a/tests/lying.py
+++ b/tests/lying.py
@@ -46,6 +46,8 @@
     def lock(self) -> bool:
         return True
 
+    def release(self) -> None: ...
+
     def names(self) -> list[str]:
         return sorted(self.now)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -33,6 +33,8 @@
     assert store.commit() == 4 and store.safe == 4
     with pytest.raises(BadStore, match="lock: another process"):
         Store(RealDisk(tmp_path / "s"), "a")
+    store.close()
+    assert Store(RealDisk(tmp_path / "s"), "a").rows == {b"k": b"2"}
     found = read(RealDisk(tmp_path / "s"), "a")
     assert found.rows == {b"k": b"2"} and found.position == 4 and not found.faults
     assert found.disk == store.disk
