--- a/mulleinhall/lab/referee.py
+++ b/mulleinhall/lab/referee.py
@@ -209,6 +209,12 @@
     found: dict[int, list[Arrival]] = defaultdict(list)
     for name, ask in {tried.id: tried.ask for tried in record.tries if tried.key}.items():
         found[ask] += by_id[name]
+    if record.hands_over:  # what was taken over goes under an id of its own
+        ids = {tried.id for tried in record.tries}
+        asks = {(x.customer, x.request_class, x.key): x.ask for x in record.tries if x.key}
+        for x in (x for name, arrivals in by_id.items() if name not in ids for x in arrivals):
+            if (ask := asks.get((x.customer, x.request_class, x.key))) is not None:
+                found[ask].append(x)
     return {ask: sorted(arrivals, key=lambda x: x.at) for ask, arrivals in found.items() if arrivals}
 
 
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -221,6 +221,16 @@
     assert breaches == [] if not words else any(words in b for b in breaches), breaches
 
 
+def test_what_took_effect_as_it_was_taken_over_is_in_the_books() -> None:
+    mine = replace(tried(cls="solution-submit", value=b"w"), key="k1", ask=1)
+    first = came(request_class="solution-submit", key="k1", value=b"")
+    again = came(10.2, 10.3, id="takeover-1", request_class="solution-submit", value=b"w", key="k1", units=0.0,
+                 effect=True)
+    assert found(mine, arrivals=(first, again), hands_over=True) == []
+    both = (replace(first, effect=True), again)
+    one(found(mine, arrivals=both, hands_over=True), "recorded twice")
+
+
 def test_a_repeat_is_told_what_its_submission_came_to_and_no_other() -> None:
     first = came(request_class="solution-submit", key="k1", effect=True, value=b"mine")
     other = came(id="r0", request_class="solution-submit", key="k2", effect=True, value=b"other")
