--- a/mulleinhall/lab/referee.py
+++ b/mulleinhall/lab/referee.py
@@ -213,8 +213,9 @@
         ids = {tried.id for tried in record.tries}
         asks = {(x.customer, x.request_class, x.key): x.ask for x in record.tries if x.key}
         for x in (x for name, arrivals in by_id.items() if name not in ids for x in arrivals):
-            if (ask := asks.get((x.customer, x.request_class, x.key))) is not None:
-                found[ask].append(x)
+            submission = x.customer, x.request_class, x.key
+            if submission in asks:
+                found[asks[submission]].append(x)
     return {ask: sorted(arrivals, key=lambda x: x.at) for ask, arrivals in found.items() if arrivals}
 
 
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -224,8 +224,8 @@
 def test_what_took_effect_as_it_was_taken_over_is_in_the_books() -> None:
     mine = replace(tried(cls="solution-submit", value=b"w"), key="k1", ask=1)
     first = came(request_class="solution-submit", key="k1", value=b"")
-    again = came(10.2, 10.3, id="takeover-1", request_class="solution-submit", value=b"w", key="k1", units=0.0,
-                 effect=True)
+    again = came(10.2, 10.3, id="takeover-1", request_class="solution-submit", value=b"w", key="k1",
+                 units=0.0, effect=True)
     assert found(mine, arrivals=(first, again), hands_over=True) == []
     both = (replace(first, effect=True), again)
     one(found(mine, arrivals=both, hands_over=True), "recorded twice")
