--- a/tests/stand.py
+++ b/tests/stand.py
@@ -26,6 +26,20 @@
 Said = dict[int, dict[str, Any]]
 
 
+async def counted(ingress: Ingress) -> dict[str, Any]:
+    """What a process says that it counted, by SIGUSR1."""
+    before, end = ingress.log.stat().st_size, time.monotonic() + PATIENCE
+    ingress.signal(signal.SIGUSR1)
+    while time.monotonic() < end:
+        data = ingress.log.read_bytes()[before:]
+        at = data.find(COUNTS)
+        if at >= 0 and (stop := data.find(b"\n", at)) >= 0:
+            counts: dict[str, Any] = json.loads(data[at + len(COUNTS):stop])
+            return counts
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"{ingress.name} says nothing")
+
+
 class Stand:
     """A world whose ingresses talk, and what they say of it."""
 
@@ -34,17 +48,7 @@
 
     async def say(self, ingress: Ingress) -> dict[str, Any]:
         """Its counts by SIGUSR1."""
-        before = ingress.log.stat().st_size
-        ingress.signal(signal.SIGUSR1)
-        end = time.monotonic() + PATIENCE
-        while time.monotonic() < end:
-            data = ingress.log.read_bytes()[before:]
-            at = data.find(COUNTS)
-            if at >= 0 and (stop := data.find(b"\n", at)) >= 0:
-                counts: dict[str, Any] = json.loads(data[at + len(COUNTS):stop])
-                return counts
-            await asyncio.sleep(0.02)
-        raise AssertionError(f"{ingress.name} says nothing")
+        return await counted(ingress)
 
     async def until(self, numbers: set[int], holds: Callable[[dict[str, Any]], bool], why: str) -> Said:
         """Asks these until it holds for each."""
--- a/tests/submitters.py
+++ b/tests/submitters.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import json
 import signal
 import sys
 import tempfile
@@ -21,12 +20,12 @@
 from mulleinhall.lab.crew import Crew
 from mulleinhall.lab.deployment import Deployment
 from mulleinhall.lab.grid import GridServer
-from mulleinhall.lab.ingresses import COUNTS
 from mulleinhall.lab.record import Arrival, Try
 from mulleinhall.lab.referee import Verdict, judge
 from mulleinhall.lab.scenario import Scenario
 from mulleinhall.lab.voices import RespVoice, Words
 from mulleinhall.lab.world import World
+from tests.stand import counted
 
 ASKS = 1_000_000  # from where on the numbers of these clients' submissions count
 MARK = "7e577e57"  # ends the ids of these clients' requests
@@ -124,18 +123,9 @@
             await asyncio.sleep(0.005)
 
     async def say(self, number: int) -> dict[str, Any]:
-        """An ingress's counts of the handover, by SIGUSR1."""
-        ingress, end = self.world.ingresses[number], time.monotonic() + PATIENCE
-        before = ingress.log.stat().st_size
-        ingress.signal(signal.SIGUSR1)
-        while time.monotonic() < end:
-            data = ingress.log.read_bytes()[before:]
-            at = data.find(COUNTS)
-            if at >= 0 and (stop := data.find(b"\n", at)) >= 0:
-                counts: dict[str, Any] = json.loads(data[at + len(COUNTS):stop])["handover"]
-                return counts
-            await asyncio.sleep(0.02)
-        raise AssertionError(f"{ingress.name} says nothing")
+        """An ingress's counts of the handover."""
+        told: dict[str, Any] = (await counted(self.world.ingresses[number]))["handover"]
+        return told
 
     async def until(self, numbers: set[int], holds: Callable[[dict[str, Any]], bool], why: str) -> None:
         end = time.monotonic() + PATIENCE
