A test of the pool sets its hook before the attempt may be written

An idle connection that has settled is written to in start() itself, before the test set its hook on the attempt; on the sources a new connection came up most times. The attempt is made with its hook now.

--- a/tests/test_resp_back.py
+++ b/tests/test_resp_back.py
@@ -490,9 +490,11 @@
             late.written = lambda attempt: written.append(attempt.number)
             pool.skipped = 3.5
             assert await pool.end() == (Outcome.CONNECT_FAILED, None) and late.carrier is None
-            good = pool.send(wait=3.0)
-            good.written = lambda attempt: written.append(attempt.number)
+            now = pool.pool.clock()
+            good = Attempt("r", 7, "s0", now, now + 3.0, call(*WORDS))
+            good.written = lambda attempt: written.append(attempt.number)  # before it may be written at once
+            pool.pool.start(good)
             assert await pool.end(2) == (Outcome.OK, b"hello")
-            assert written == [good.number]
+            assert written == [7]
 
     run(body())
