A submission's home follows from what every gateway knows: no retry in another cell

Cause: the home of a key rested on what an instance had seen. A backend that had left kept its place on the ring for 600 s at instances that saw it leave and had none at one that started later; a backend whose new generation was not in effect yet counted with its former one at the former and was passed over at the latter; a cell that had come back counted as home at once; beyond 100 backends the number of points on the ring followed from how many were remembered. And an instance took its own list for everybody's.

A new instance places no first request for the skew, and no retry that it does not know, for the window and twice the skew.

--- a/ingress/idempotency/placement.py
+++ b/ingress/idempotency/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import logging
 from collections import Counter
 from collections.abc import Iterable
 from typing import Final
@@ -9,9 +11,11 @@
 from ingress.core.calls import Call
 from ingress.core.ports import Attempt, PlacementConstraint
 from ingress.idempotency.in_doubt import InDoubtTable, Submission
-from ingress.idempotency.key_affinity import KeyAffinity, ring_position
+from ingress.idempotency.key_affinity import KeyAffinity, Period, ring_position
 from ingress.policy.events import Backend, Outcome, Readiness
 
+log = logging.getLogger(__name__)
+
 ANYWHERE: Final = PlacementConstraint()
 MAX_SUBMISSIONS: Final = 20_000  # in doubt; some 300 bytes each
 
@@ -19,7 +23,7 @@
 ATTEMPT_SEEN: Final = "held-seen"  # held to the cell of an attempt seen here
 HOME_AVAILABLE: Final = "held-home"  # held to its home cell
 HOME_UNAVAILABLE: Final = "moved-home"  # held to another: no backend of its home takes requests
-RETRY_REJECTED: Final = "unsure"  # marked retries rejected because their home was changing
+REJECTED: Final = "unsure"  # rejected, as their home at other gateways was or may be another
 RETRY_ELSEWHERE: Final = "held-back"  # may have run, while another cell would have taken a retry
 
 
@@ -61,35 +65,80 @@
 
     def admit(self, call: Call, now: float) -> PlacementConstraint:
         """Returns where a call with an idempotency key may run."""
+        constraint = self._constraint_of(call, now)
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("placement %s", json.dumps(self._describe(call, constraint, now)))
+        return constraint
+
+    def _describe(
+        self, call: Call, constraint: PlacementConstraint, now: float
+    ) -> dict[str, object]:
+        """Returns what a decision rested on, for the log; times are seconds."""
+        affinity = self.key_affinity
+        submission = submission_of(call)
+        position = ring_position("/".join(submission))
+        return {
+            "at": now,
+            "request": call.client_request_id.decode("latin-1"),
+            "key": call.idempotency_key,
+            "is_retry": call.is_retry,
+            "cell": constraint.cell,
+            "retry_after": constraint.retry_after,
+            "in_doubt": self.in_doubt.cell_of(submission, now),
+            "home": affinity.home_cell(position, now, False),
+            "possible": sorted(affinity.possible_cells(position, Period(now - self.window_s, now))),
+            "ready_counts": affinity.ready_counts,
+            "names": len(affinity.histories),
+            "listed_for": now - affinity.first_list_at,
+            "list_age": now - affinity.list_changed_at,
+        }
+
+    def _constraint_of(self, call: Call, now: float) -> PlacementConstraint:
         submission = submission_of(call)
         if cell := self.in_doubt.cell_of(submission, now):
             self.counts[ATTEMPT_SEEN] += 1
             return PlacementConstraint(cell)
         affinity = self.key_affinity
+        if call.is_retry and (wait := self._until_window_is_known(now)) > 0:
+            return self._reject(wait)
         if not affinity.spans_several_cells(now - self.window_s):
             return ANYWHERE
+        if (wait := self._until_all_heard_alike(now)) > 0:
+            return self._reject(wait)
         position = ring_position("/".join(submission))
         home = affinity.home_cell(position, now, False)
-        available = affinity.home_cell(position, now, True)
+        available = affinity.home_cell(position, now, True) or home
+        if not affinity.ready_counts.get(available):
+            # Other gateways may not have heard that it takes no requests any more.
+            return self._reject(self.window_s if call.is_retry else affinity.list_skew_s)
         if call.is_retry:
-            retry_after = self._uncertain_for(position, home, available, now)
-            if retry_after > 0:
-                self.counts[RETRY_REJECTED] += 1
-                return PlacementConstraint(0, retry_after)
+            possible = affinity.possible_cells(position, Period(now - self.window_s, now))
+            if possible != {available}:
+                return self._reject(self._uncertain_for(home, available, now))
         self.counts[HOME_AVAILABLE if home == available else HOME_UNAVAILABLE] += 1
         return PlacementConstraint(available)
 
-    def _uncertain_for(self, position: int, home: int, available: int, now: float) -> float:
-        """Returns for how many seconds it stays unknown where an earlier attempt may have run.
+    def _until_all_heard_alike(self, now: float) -> float:
+        """Returns for how many seconds others may hold older lists than the first one here."""
+        return self.key_affinity.first_list_at + self.key_affinity.list_skew_s - now
+
+    def _until_window_is_known(self, now: float) -> float:
+        """Returns for how many seconds others may have gone by lists older than the first one here.
 
-        That is so while its home changed within the window, or takes no requests any more.
+        Backends that were on them keep their places there until all gateways have heard.
         """
-        if home != available:
-            since = self.key_affinity.unavailable_since.get(home, now)
-            # Rounding of the sum could give more than a window.
-            return min(self.window_s, max(0.0, since + self.window_s - now))
-        home_before = self.key_affinity.home_cell(position, now - self.window_s, False)
-        return self.window_s / 2 if home_before != home else 0.0
+        return self._until_all_heard_alike(now) + self.key_affinity.list_skew_s + self.window_s
+
+    def _uncertain_for(self, home: int, available: int, now: float) -> float:
+        """Returns after how many seconds a retry has a chance, its home having changed lately."""
+        if home == available:
+            return self.window_s / 2
+        unavailable_at = self.key_affinity.availability[home].latest_change_at()
+        return max(self.window_s / 2, unavailable_at + self.window_s - now)
+
+    def _reject(self, wait: float) -> PlacementConstraint:
+        self.counts[REJECTED] += 1
+        return PlacementConstraint(0, min(self.window_s, wait))
 
     def sent(self, attempt: Attempt, now: float) -> None:
         """Notes an attempt with an idempotency key that is about to be written."""
--- a/ingress/service.py
+++ b/ingress/service.py
@@ -25,6 +25,7 @@
 EXIT_CANNOT_LISTEN = 1
 EXIT_BAD_CONFIGURATION = 2
 CONFIG_VARIABLE = "EDGE_CONFIG"  # names the platform's configuration file
+LOG_LEVEL_VARIABLE = "INGRESS_LOG_LEVEL"  # "debug": also where each idempotent request is placed
 OPERATOR_OPTION = "--operator"
 DEFERRED_SIGNALS = {signal.SIGHUP, signal.SIGUSR1}  # until their handlers are installed
 SETTLE_S = 0.01  # for what the start has left in the event loop
@@ -100,6 +101,12 @@
     log.info("counts %s", json.dumps(application.counts()))
 
 
+def log_level() -> int:
+    """Returns from which level on messages are logged."""
+    debug = os.environ.get(LOG_LEVEL_VARIABLE, "").lower() == "debug"
+    return logging.DEBUG if debug else logging.INFO
+
+
 def main(arguments: list[str], form: Form) -> int:
     """Serves until SIGTERM.
 
@@ -113,7 +120,7 @@
     # A signal that comes before its handler is installed waits, so that no reload is missed.
     signal.pthread_sigmask(signal.SIG_BLOCK, DEFERRED_SIGNALS)
     logging.basicConfig(
-        level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
+        level=log_level(), stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
     )
     try:
         config = load()
--- a/ingress/testbed/ingresses.py
+++ b/ingress/testbed/ingresses.py
@@ -26,6 +26,7 @@
 LAST_LINES = 5
 TOLD = 1.0  # s for a process to say what it counted
 COUNTS = b" counts "
+PLACEMENT = ": placement "  # before a decision in the log, which is written at level debug
 
 
 class CantStart(Exception):
@@ -220,6 +221,16 @@
             self.record.starved.append((now, self.number, waited - self.waited))
         self.waited = waited
 
+    def placements(self) -> list[dict[str, Any]]:
+        """Where its processes placed idempotent requests, if they logged that."""
+        found: list[dict[str, Any]] = []
+        with contextlib.suppress(OSError):
+            for line in self.log.read_text(encoding="utf-8", errors="replace").splitlines():
+                _, is_placement, text = line.partition(PLACEMENT)
+                if is_placement:
+                    found.append(json.loads(text) | {"ingress": self.number})
+        return found
+
     async def told(self) -> dict[str, Any]:
         """What the process says of itself when it is asked by a signal at the run's end; nothing if it does
         not.  An older one knows no such signal, and ends by it: that is no crash."""
--- a/ingress/testbed/record.py
+++ b/ingress/testbed/record.py
@@ -8,6 +8,7 @@
 from bisect import bisect_left
 from dataclasses import dataclass, field
 from math import inf
+from typing import Any
 
 STARVED = 0.6  # s before a moment in which waiting for a core can have made it late
 
@@ -111,6 +112,8 @@
     )  # when, and how late the machine was
     # When it was read, which ingress, and for how long since the last reading it stood ready and got no core.
     starved: list[tuple[float, int, float]] = field(default_factory=list)
+    # Each as an ingress logged it, at level debug; times are Unix time.
+    placements: list[dict[str, Any]] = field(default_factory=list)
     hands_over: bool = False  # whether ingresses may send what a lost one had in hand
 
     def lag(self, at: float, before: float = 2.0, after: float = 0.3) -> float:
--- a/ingress/testbed/report.py
+++ b/ingress/testbed/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from ingress.testbed.invariant_checker import RULES, Verdict, held_back, judge
@@ -20,6 +21,7 @@
     figures = measure(world.record, world.customers.asked, world.deployment)
     held = held_back(world.record)
     each = [sum(t.ingress == i.number for t in world.record.tries) for i in world.ingresses]
+    logged = {"placements": placements(world, verdict)} if world.record.placements else {}
     return {
         "scenario": scenario.name,
         "seed": scenario.seed,
@@ -62,9 +64,36 @@
         "judged": verdict.judged,
         "kept_up": world.customers.behind <= BEHIND,
         "crashes": world.crashes,
+        **logged,
     }, verdict
 
 
+def placements(world: World, verdict: Verdict) -> list[str]:
+    """How the submissions of broken rules were placed, and where they arrived, in order of time.
+
+    Ingresses log the former only where INGRESS_LOG_LEVEL is `debug`.
+    """
+    record = world.record
+    requests = {breach.request for breach in verdict.breaches}
+    asks = {tried.ask for tried in record.tries if tried.key and tried.id in requests}
+    ids = {tried.id for tried in record.tries if tried.ask in asks}
+    keys = {tried.key for tried in record.tries if tried.ask in asks}
+    sightings = [
+        (row["at"] - world.unix, json.dumps(row | {"at": round(row["at"] - world.unix, 3)}))
+        for row in record.placements
+        if row["key"] in keys or row["request"] in ids
+    ]
+    sightings += [
+        (x.at, f"arrival at {x.at:.3f}, sent from {x.first:.3f}: {x}")
+        for x in record.arrivals
+        if x.id in ids
+    ]
+    if sightings:
+        sightings += [(news.at, str(news)) for news in record.told]
+        sightings += [(start.at, str(start)) for start in record.starts]
+    return [text for _, text in sorted(sightings)]
+
+
 def quarters(samples: list[tuple[float, float]], began: float, seconds: float) -> list[float]:
     """The mean of the samples in each quarter of the run; 0 where there is none."""
     sums: list[list[float]] = [[], [], [], []]
--- a/ingress/testbed/world.py
+++ b/ingress/testbed/world.py
@@ -221,6 +221,8 @@
             ingress.sample()
         if not self.counts:
             self.counts = [await ingress.told() for ingress in self.ingresses]
+            for ingress in self.ingresses:
+                self.record.placements += ingress.placements()
         for ingress in self.ingresses:
             await ingress.end()
         self.customers.close()
