--- a/ingress/testbed/discovery_server.py
+++ b/ingress/testbed/discovery_server.py
@@ -15,6 +15,7 @@
 Row = dict[str, Any]
 LONGEST_WAIT = 60.0  # s of a watch
 LONGEST_HEAD = 8192  # bytes of a request
+CHANGES_APART = 0.005  # s between two changes of one server, as an agent hears of them
 
 
 class Agent:
@@ -133,13 +134,25 @@
     def __init__(self, agents: list[Agent], notice: float, rng: random.Random) -> None:
         self.agents, self.notice, self.rng = agents, notice, rng
         self.loop = asyncio.get_running_loop()
+        # When each agent hears of the latest change of a server, by the agent's number and the id.
+        self.heard_at: dict[tuple[int, str], float] = {}
 
     def tell(self, rows: list[Row], at_once: bool = False) -> None:
-        """`rows`: one server's entry for each agent, in their order."""
+        """`rows`: one server's entry for each agent, in their order.
+
+        An agent hears of a server's changes in the order in which they happened.
+        """
         for agent, row in zip(self.agents, rows, strict=True):
-            wait = 0.0 if at_once else self.rng.uniform(0.2, 1.0) * self.notice + agent.late
             if at_once:
                 agent.learn(row)
                 agent.first.append(row)
             else:
-                self.loop.call_later(wait, agent.learn, row)
+                wait = self.rng.uniform(0.2, 1.0) * self.notice + agent.late
+                self._tell_later(agent, row, wait)
+
+    def _tell_later(self, agent: Agent, row: Row, wait: float) -> None:
+        key = agent.number, row["id"]
+        # Timers for one moment may fire in any order.
+        earliest = self.heard_at.get(key, 0.0) + CHANGES_APART
+        self.heard_at[key] = max(self.loop.time() + wait, earliest)
+        self.loop.call_at(self.heard_at[key], agent.learn, row)
