Tests of late connections no longer hang on when the system repeats a SYN

Seen: "a final answer was forced: 1 attempts, out since 1.995 s at s1, not written", once in a run of 397 tests beside ten busy processes. Callers saw nothing.

Cause: the stand-in holds connections back by a full accept queue, so their SYNs are dropped and repeated 1 s and 2.03 s later, while the request that stays waits 2 s. A test process without a core for over a second at that point loses the first repetition, and the second comes too late.

Fix: these requests wait 30 s, as the third of the kind does, and the queue is widened as accepting begins. What is asserted is unchanged.

--- a/tests/support/races.py
+++ b/tests/support/races.py
@@ -25,7 +25,13 @@
 from tests.peers import SETTINGS, Address, Caller, config, resp, until
 from tests.support.applications import ScriptedPolicy, serving
 
-SLOW_CONNECT = SETTINGS | {"limits": SETTINGS["limits"] | {"connect-timeout-s": 10.0}}
+LONG_TIMEOUT_S = (
+    30.0  # of requests whose connection comes up with a repeated SYN, 1 s later or more
+)
+SLOW_CONNECT = SETTINGS | {
+    "categories": [row | {"give-up-s": LONG_TIMEOUT_S} for row in SETTINGS["categories"]],
+    "limits": SETTINGS["limits"] | {"connect-timeout-s": 10.0},
+}
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER
 MAX_MACHINE_DELAY_S = 0.4  # by which a busy machine may be late in a test
 
@@ -43,7 +49,11 @@
         self.listener.setblocking(False)
 
     async def accept(self, count: int) -> list[socket.socket]:
-        """Accepts so many connections, in whatever order they come up."""
+        """Accepts so many connections, in whatever order they come up.
+
+        The backlog holds them all from now on, so that none waits for another to be accepted.
+        """
+        self.listener.listen(1 + count)
         loop = asyncio.get_running_loop()
         filler, _ = await loop.sock_accept(self.listener)
         filler.close()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -39,6 +39,7 @@
 from tests.support.applications import ScriptedPolicy, serving, start_attempt
 from tests.support.pools import PoolHarness
 from tests.support.races import (
+    LONG_TIMEOUT_S,
     SLOW_CONNECT,
     ManualTimers,
     disconnect,
@@ -79,7 +80,7 @@
                 await until(lambda: served.backends.connection_count == 1)  # type: ignore[attr-defined]
                 disconnect(left, how)
                 await until(lambda: stub.events_of(ClientDisconnected))
-                stays.writer.write(command("stays"))
+                stays.writer.write(command("stays", d=int(1000 * LONG_TIMEOUT_S)))
                 await until(lambda: len(stub.events_of(RequestReceived)) == 2)
                 data = await received_bytes(served, await slow.accept(2))
                 assert b"stays" in data
--- a/tests/test_shutdown_and_stalls.py
+++ b/tests/test_shutdown_and_stalls.py
@@ -22,6 +22,7 @@
 )
 from tests.support.applications import ScriptedPolicy, serving, start_attempt
 from tests.support.races import (
+    LONG_TIMEOUT_S,
     MAX_MACHINE_DELAY_S,
     SLOW_CONNECT,
     StallingClock,
@@ -172,7 +173,7 @@
                 await until(lambda: served.backends.connection_count == 1)  # type: ignore[attr-defined]
                 served.exchange.fail_open_requests()
                 assert str(await caller.answer()) == "ERR failed"
-                caller.writer.write(command("two"))
+                caller.writer.write(command("two", d=int(1000 * LONG_TIMEOUT_S)))
                 await until(lambda: len(stub.events_of(RequestReceived)) == 2)
                 data = await received_bytes(served, await slow.accept(2))
                 assert b"two" in data
