A ceiling's bound and units given back late: the example each time, and what stands in the way

From totals alone all that others ever counted may be given back with the next one, so a bound that always holds would lend nothing after a burst of others' use. Check and bound stay as they are.

--- a/tests/test_quota_estimate.py
+++ b/tests/test_quota_estimate.py
@@ -347,3 +347,17 @@
                 assert estimate.ceiling_lower_bound - estimate.units_since_update <= left + 1e-6
             case _:
                 estimate.set_share(now, 0.5 if estimate.quota_share == 1.0 else 1.0)
+
+
+def test_units_given_back_late_do_not_hide_use_under_a_ceiling() -> None:
+    """Guards against a bound that takes use for none, as units counted earlier are given back."""
+    steps = [
+        ("counted", 1.0),
+        ("total", 0.0),
+        ("wait", 1.0),
+        ("others", 1.0),
+        ("rejected", 0.0),
+        ("total", 0.0),
+    ]
+    drawn = test_the_ceilings_lower_bound_is_never_more_than_what_is_left
+    drawn.hypothesis.inner_test(0.0, 0.0, steps)  # type: ignore[attr-defined]
