Retries and drains allow for a process that is held up for 0.15 s before it writes

Callers could see an effect twice: a keyed retry was checked against the window's end less 5 ms, and a process that lost its core between that check and the write sent it up to 0.145 s after backends had forgotten the key. Likewise a new request after a drain's grace, where the agent had used up its half.

Fix: MAX_HOLD_UP_S is taken off the window's end, in the policy's choice and before the write, and off the half of the grace in which new requests may be written.

--- a/ingress/core/open_request.py
+++ b/ingress/core/open_request.py
@@ -7,6 +7,7 @@
 from ingress.core.calls import Call
 from ingress.core.ports import Attempt, Downstream, TimerHandle
 from ingress.policy.events import RequestReceived
+from ingress.policy.settings import MAX_HOLD_UP_S
 
 POLICY_MARGIN_S: Final = 0.020
 """Before the client's timeout: when the policy's ends."""
@@ -14,8 +15,8 @@
 """The policy's margin is at most the client's timeout divided by this."""
 FORCED_RESPONSE_MARGIN_S: Final = 0.005
 """Before the client's timeout: when a final response is forced."""
-DEDUPLICATION_MARGIN_S: Final = 0.005
-"""Before a memory of idempotency keys ends: for a repeated request's way to the backend."""
+DEDUPLICATION_MARGIN_S: Final = MAX_HOLD_UP_S + 0.005
+"""Before a memory of idempotency keys ends: for a retry's write, and its way to the backend."""
 OPEN_REQUEST_BYTES: Final = 2048
 """What an open request takes beside its call."""
 
--- a/ingress/policy/request_state.py
+++ b/ingress/policy/request_state.py
@@ -6,6 +6,7 @@
 from ingress.policy.customer import Customer
 from ingress.policy.events import Backend, RequestReceived
 from ingress.policy.settings import (
+    MAX_HOLD_UP_S,
     DeduplicationScope,
     Plan,
     RequestClass,
@@ -78,7 +79,8 @@
             return True
         if self.request_class.semantics is RetrySemantics.NON_IDEMPOTENT:
             return False
-        return self._is_deduplicated(target.backend, now + settings.tick_interval)
+        written_by = now + settings.tick_interval + MAX_HOLD_UP_S
+        return self._is_deduplicated(target.backend, written_by)
 
     def _is_deduplicated(self, backend: Backend, arrives_at: float) -> bool:
         """Returns whether the backend still knows the key of each attempt that may have run."""
--- a/ingress/policy/settings.py
+++ b/ingress/policy/settings.py
@@ -8,6 +8,10 @@
 from dataclasses import dataclass
 from enum import Enum
 from math import inf
+from typing import Final
+
+MAX_HOLD_UP_S: Final = 0.15
+"""For which the process may be held up between reading its clock and acting on it."""
 
 
 class RetrySemantics(Enum):
--- a/ingress/transport/backend_pool.py
+++ b/ingress/transport/backend_pool.py
@@ -13,6 +13,7 @@
 from ingress.core.clock import Clock
 from ingress.core.ports import Attempt, AttemptEndHandler, Timers
 from ingress.policy.events import NO_LOAD_REPORT, Backend, Outcome, Readiness
+from ingress.policy.settings import MAX_HOLD_UP_S
 from ingress.transport.backend_connection import BackendConnection, Endpoint
 from ingress.transport.backend_protocol import BackendProtocolFactory
 from ingress.transport.idle_limit import IdleLimit
@@ -20,8 +21,8 @@
 
 log = logging.getLogger(__name__)
 
-# Of a drain's grace, from when the change was read: the rest is for the agent, which may have had
-# it earlier.
+# Of a drain's grace, from when the change was read, less the time for which the process may be held
+# up: the rest is for the agent, which may have had it earlier.
 DRAIN_GRACE_FRACTION: Final = 0.5
 # From a response until its connection is used again: a duplicate of the response may come late.
 SETTLE_TIME_S: Final = 0.02
@@ -77,7 +78,7 @@
         self.make_protocol = make_protocol
         self.max_connections = max_connections
         self.connect_timeout = connect_timeout
-        self.drain_grace = grace * DRAIN_GRACE_FRACTION
+        self.drain_grace = max(0.0, grace * DRAIN_GRACE_FRACTION - MAX_HOLD_UP_S)
         self.idle_limit = IdleLimit(idle_time)
         self.clock = clock
         self.report_outcome = ended
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -29,6 +29,7 @@
 from ingress.policy.gateway import Gateway
 from ingress.policy.request_state import RequestState, SentAttempt
 from ingress.policy.settings import (
+    MAX_HOLD_UP_S,
     DeduplicationScope,
     Plan,
     RequestClass,
@@ -94,8 +95,10 @@
 def test_no_retry_after_the_deduplication_window() -> None:
     request = request_after(KEYED, Outcome.TIMEOUT)
     server = BackendState(FLEET[0], 100.0)
-    assert request.may_attempt(server, 100.0 + KEYED.deduplication_window - 0.1, SETTINGS)
-    assert not request.may_attempt(server, 100.0 + KEYED.deduplication_window, SETTINGS)
+    # The process may be held up before it writes.
+    end = 100.0 + KEYED.deduplication_window - MAX_HOLD_UP_S
+    assert request.may_attempt(server, end - 0.1, SETTINGS)
+    assert not request.may_attempt(server, end, SETTINGS)
 
 
 def test_no_hedged_request_where_it_is_not_allowed() -> None:
