Takeover test: what left a process that died has arrived before it is counted

Seen beside load: test_killed_at_each_step_of_a_submission, step "written", `assert len(fleet.arrivals(key)) == sent`, 1 == 0. Callers see nothing of it: the bytes had left the owner before it died, and the test counted before the backend's stand-in, in the same event loop, had read them.

Shown by a run that holds those bytes until the test has counted for the first time: 3 of 3 failed at that line, 1 arrival held, 0 counted. The test now says how many arrivals there are at each of the three steps (0, 0, 1), awaits them and compares them before and after the retry: stricter than "as many as there were". 3 of 3 held runs pass.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -34,7 +34,13 @@
             other = 6 + owner % 2
             if step in ("asked", "granted", "written"):
                 # It may yet write: nobody sends it until its process is known to be gone.
-                sent = len(fleet.arrivals(key))
+                sent = 1 if step == "written" else 0
+                # What had left a process that died arrives a moment later.
+                await fleet.wait_until(
+                    lambda key=key, sent=sent: len(fleet.arrivals(key)) >= sent,  # type: ignore[misc]
+                    "it was not forwarded",
+                )
+                assert len(fleet.arrivals(key)) == sent, step
                 outcome = await fleet.submit(other, key)
                 assert outcome.kind == "refused", (step, outcome)
                 assert outcome.retry_after > 0, (step, outcome)
