RESP3: push frames without end behind a reply cost the connection, not the request

Callers could see a served request fail: over 64 push frames in the read that completed a reply raised MalformedFrameError, which no codec may raise, and the result was lost. Cause: frames behind the reply were dropped outside the part that handles the limit. Now the reply counts, and the connection is closed if more frames follow than may come between two replies. The new test failed before in both cases, with 0 and 64 frames in front of the reply.

--- a/ingress/resp/resp3_backend_protocol.py
+++ b/ingress/resp/resp3_backend_protocol.py
@@ -95,14 +95,21 @@
                     result = self._decode_value(frame)
         except (MalformedFrameError, hiredis.HiredisError) as error:
             raise MalformedResponseError(str(error)) from None
-        # A push frame may follow the reply; anything else would pass for the next reply.
-        while self.buffer[:1] == b">" and (end := self._find_push_end()) > 0:
-            self._count_push()
-            self.buffer = self.buffer[end:]
+        self._drop_push_frames()
+        # Anything else would pass for the next reply.
         result.reusable = not self.buffer
         self.buffer = b""
         return result
 
+    def _drop_push_frames(self) -> None:
+        """Drops the push frames behind a reply, but no more than may come between two."""
+        while self.buffer[:1] == b">" and self.push_count < MAX_PUSH_FRAMES:
+            end = self._find_push_end()
+            if end < 0:
+                return
+            self._count_push()
+            self.buffer = self.buffer[end:]
+
     def receive_eof(self) -> AttemptResult | None:
         """Returns None: the end of a connection completes no reply."""
         return None
--- a/tests/test_resp3.py
+++ b/tests/test_resp3.py
@@ -22,7 +22,7 @@
 from ingress.policy.settings import DeduplicationScope
 from ingress.protocol_versions.declaration import protocol_version
 from ingress.protocol_versions.groups import Grouping
-from ingress.resp.resp3_backend_protocol import HELLO, Resp3BackendProtocol
+from ingress.resp.resp3_backend_protocol import HELLO, MAX_PUSH_FRAMES, Resp3BackendProtocol
 from ingress.resp.resp3_frames import find_frame_end
 from ingress.transport.backend_protocol import AttemptResult, MalformedResponseError
 from ingress.transport.client_protocol import MalformedFrameError
@@ -140,6 +140,16 @@
     assert made.receive_data(SERVED + NEWS) == AttemptResult(Outcome.OK, b"hello")
 
 
+@pytest.mark.parametrize("before", [0, MAX_PUSH_FRAMES])
+def test_push_frames_without_end_behind_a_reply_cost_the_connection_alone(before: int) -> None:
+    """Guards against a served request that fails, and an exception that no codec may raise."""
+    made = wire()
+    result = made.receive_data(NEWS * before + SERVED + NEWS * (MAX_PUSH_FRAMES + 1))
+    assert result == AttemptResult(Outcome.OK, b"hello", reusable=False)
+    with pytest.raises(MalformedResponseError):
+        wire().receive_data(NEWS * (MAX_PUSH_FRAMES + 1) + SERVED)
+
+
 @pytest.mark.parametrize(
     ("data", "outcome", "final"),
     [
