--- a/ingress/idempotency/key_affinity.py
+++ b/ingress/idempotency/key_affinity.py
@@ -164,7 +164,8 @@
         if history is None:
             if backend.readiness is Readiness.REMOVED or len(self.histories) >= MAX_BACKENDS:
                 return
-            history = self.histories[name] = BackendHistory()
+            history = BackendHistory()
+            self.histories[name] = history
         if is_first and backend.readiness is not Readiness.REMOVED and not history.ready:
             history.list_first(backend, self.settle_s)
         else:
@@ -232,10 +233,13 @@
             cells = self.histories[name].generations.values_between(start, end)
             if cells is None:
                 return {ANY_CELL}
-            owners = {cell: self._availability(cell, start, end) for cell in cells - {NOT_LISTED}}
-            found.update(cell for cell, available in owners.items() if True in available)
-            is_passed_over = NOT_LISTED in cells or any(False in seen for seen in owners.values())
-            if not is_passed_over or len(found) > 1:
+            may_be_passed_over = NOT_LISTED in cells
+            for cell in cells - {NOT_LISTED}:
+                availability = self._availability(cell, start, end)
+                if True in availability:
+                    found.add(cell)
+                may_be_passed_over |= False in availability
+            if not may_be_passed_over or len(found) > 1:
                 break
         return found
 
--- a/ingress/testbed/discovery_server.py
+++ b/ingress/testbed/discovery_server.py
@@ -1,4 +1,4 @@
-"""Discovery's stand-in: the fleet's list, and an agent at each ingress that tells it by long polls."""
+"""Discovery's stand-in: the fleet's endpoint list, and an agent for each ingress with long polls."""
 
 from __future__ import annotations
 
@@ -6,55 +6,95 @@
 import contextlib
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from ingress.testbed.loopback_addresses import STAND_INS, host
 
-Row = dict[str, Any]
-LONGEST_WAIT = 60.0  # s of a watch
-LONGEST_HEAD = 8192  # bytes of a request
-CHANGES_APART = 0.005  # s between two changes of one server, as an agent hears of them
+Entry = dict[str, Any]
+"""One server of an endpoint list, as the wire has it."""
+NotificationHandler = Callable[[int, str, str], None]
+"""Takes the number of the ingress, the server's id and its state, as each is sent."""
+
+MAX_WAIT_S = 60.0  # of a long poll
+MAX_REQUEST_HEAD_BYTES = 8192
+MIN_TIME_BETWEEN_CHANGES_S = 0.005  # of one server, as an agent learns of them
+PATH = "/api/targets"
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+CONNECTION_ERRORS = (
+    OSError,
+    asyncio.IncompleteReadError,
+    asyncio.LimitOverrunError,
+    ValueError,
+    asyncio.CancelledError,
+)
+"""The ingress went away, what it sent is no request, or the run is over."""
 
 
 class Agent:
-    """What one ingress is told.  `mode`: "" or silent, back; `late` is added to each change's way."""
-
-    def __init__(
-        self, number: int, clock: Callable[[], float], told: Callable[[int, str, str], None]
-    ) -> None:
-        self.number, self.clock, self.told = number, clock, told
-        self.version, self.rows = 1, dict[str, Row]()
-        self.changed: dict[str, int] = {}  # the version in which a server's entry last changed
-        self.first: list[Row] = []  # the list as it was at first: what goes back goes back to that
-        self.mode, self.late = "", 0.0
-        self.news = asyncio.Event()
+    """The discovery agent of one ingress.
+
+    Attributes:
+        number: Of the ingress.
+        on_notified: Called with each entry that is sent.
+        version: Counts changes.
+        entries: The endpoint list, by the servers' ids.
+        changed_in: The version in which a server's entry last changed, by its id.
+        initial_entries: The list as it was at first: what the fault "back" sends.
+        fault: "silent", "back", or empty for none.
+        extra_delay_s: By which each change reaches the agent later.
+        changed: Set, and replaced, with each change.
+    """
+
+    def __init__(self, number: int, on_notified: NotificationHandler) -> None:
+        self.number = number
+        self.on_notified = on_notified
+        self.version = 1
+        self.entries: dict[str, Entry] = {}
+        self.changed_in: dict[str, int] = {}
+        self.initial_entries: list[Entry] = []
+        self.fault = ""
+        self.extra_delay_s = 0.0
+        self.changed = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
     async def open(self) -> tuple[str, int]:
+        """Listens on a port of its own; returns its address."""
         self.server = await asyncio.start_server(
-            self._serve, host(STAND_INS), 0, limit=LONGEST_HEAD
+            self._serve, host(STAND_INS), 0, limit=MAX_REQUEST_HEAD_BYTES
         )
         address: tuple[str, int] = self.server.sockets[0].getsockname()
         return address
 
-    def learn(self, row: Row) -> None:
-        """An entry as the ingress would be told it from now on."""
+    def update(self, entry: Entry) -> None:
+        """Takes an entry, which the ingress is notified of from now on."""
         self.version += 1
-        self.rows[row["id"]] = row
-        self.changed[row["id"]] = self.version
-        self.news.set()
-        self.news = asyncio.Event()
-
-    def known(self) -> Row:
-        """The whole list, as an ingress that starts is given it."""
-        return {
-            "version": self.version,
-            "full": True,
-            "servers": [r for r in self.rows.values() if r["state"] != "gone"],
-        }
+        self.entries[entry["id"]] = entry
+        self.changed_in[entry["id"]] = self.version
+        self._wake_polls()
+
+    def full_list(self) -> Mapping[str, Any]:
+        """Returns the whole list, as an ingress that starts is given it."""
+        present = [entry for entry in self.entries.values() if entry["state"] != "gone"]
+        return {"version": self.version, "full": True, "servers": present}
+
+    def set_fault(self, fault: str) -> None:
+        """Begins a fault, or ends it."""
+        self.fault = fault
+        self._wake_polls()
+
+    def close(self) -> None:
+        """Stops listening, and drops all connections."""
+        if self.server is not None:
+            self.server.close()
+        for task in self.tasks:
+            task.cancel()
+
+    def _wake_polls(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
@@ -62,97 +102,103 @@
         self.tasks.add(task)
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                method, target, *_ = head.split(" ", 2)
-                url = urlsplit(target)
-                if method != "GET" or url.path != "/api/targets":
-                    writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                body = await self._answer(parse_qs(url.query))
-                while self.mode == "silent":
-                    await self.news.wait()
-                text = json.dumps(body).encode()
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                    b"Content-Length: %d\r\n\r\n%b" % (len(text), text)
-                )
-                for row in body["servers"]:
-                    self.told(self.number, row["id"], row["state"])
-                if body["full"]:
-                    for name in self.rows.keys() - {row["id"] for row in body["servers"]}:
-                        self.told(self.number, name, "gone")
-                await writer.drain()
-        except (
-            OSError,
-            asyncio.IncompleteReadError,
-            asyncio.LimitOverrunError,
-            ValueError,
-            asyncio.CancelledError,
-        ):
-            pass  # the ingress went away, what it sent is no request, or the run is over
+                await self._serve_request(reader, writer)
+        except CONNECTION_ERRORS:
+            pass
         finally:
             self.tasks.discard(task)
             writer.close()
 
-    async def _answer(self, query: dict[str, list[str]]) -> Row:
+    async def _serve_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        method, target, *_ = head.split(" ", 2)
+        url = urlsplit(target)
+        if method != "GET" or url.path != PATH:
+            writer.write(NOT_FOUND)
+            return
+        body = await self._poll(parse_qs(url.query))
+        while self.fault == "silent":
+            await self.changed.wait()
+        text = json.dumps(body).encode()
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (len(text), text)
+        )
+        self._record_notified(body)
+        await writer.drain()
+
+    def _record_notified(self, body: Mapping[str, Any]) -> None:
+        for entry in body["servers"]:
+            self.on_notified(self.number, entry["id"], entry["state"])
+        if body["full"]:
+            sent = {entry["id"] for entry in body["servers"]}
+            for name in self.entries.keys() - sent:
+                self.on_notified(self.number, name, "gone")
+
+    async def _poll(self, query: Mapping[str, list[str]]) -> Mapping[str, Any]:
+        """Returns the body of the answer, once there is something newer or the wait is over."""
         after = int(query.get("after", ["-1"])[0])
-        wait = min(LONGEST_WAIT, int(query.get("wait_ms", ["0"])[0]) / 1000)
-        if self.mode == "back":
-            if after != self.version + 1:
-                return {"version": self.version + 1, "full": True, "servers": self.first}
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.news.wait(), wait)
-            return {"version": after, "full": False, "servers": []}
+        wait_s = min(MAX_WAIT_S, int(query.get("wait_ms", ["0"])[0]) / 1000)
+        if self.fault == "back":
+            return await self._poll_old_list(after, wait_s)
         if after < 0:
-            return self.known()
-        until = asyncio.get_running_loop().time() + wait
-        while after == self.version and (left := until - asyncio.get_running_loop().time()) > 0:
-            try:
-                await asyncio.wait_for(self.news.wait(), left)
-            except TimeoutError:
-                break
+            return self.full_list()
+        await self._wait_for_newer(after, wait_s)
         if after > self.version:
-            return self.known()  # it was told of an older list as a newer one
-        rows = [row for name, row in self.rows.items() if self.changed[name] > after]
-        return {"version": self.version, "full": False, "servers": rows}
-
-    def strike(self, mode: str) -> None:
-        self.mode = mode
-        self.news.set()
-        self.news = asyncio.Event()
-
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for task in self.tasks:
-            task.cancel()
+            return self.full_list()  # it was sent an older list as a newer one
+        changed = [entry for name, entry in self.entries.items() if self.changed_in[name] > after]
+        return {"version": self.version, "full": False, "servers": changed}
+
+    async def _poll_old_list(self, after: int, wait_s: float) -> Mapping[str, Any]:
+        if after != self.version + 1:
+            return {"version": self.version + 1, "full": True, "servers": self.initial_entries}
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.changed.wait(), wait_s)
+        return {"version": after, "full": False, "servers": []}
+
+    async def _wait_for_newer(self, after: int, wait_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while after == self.version:
+            time_left = until - loop.time()
+            if time_left <= 0:
+                return
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), time_left)
 
 
-class Roster:
-    """The fleet's own list; each agent is told of a change after a way of its own."""
+class EndpointPublisher:
+    """Passes changes of the fleet on to the agents, to each after a delay of its own."""
 
-    def __init__(self, agents: list[Agent], notice: float, rng: random.Random) -> None:
-        self.agents, self.notice, self.rng = agents, notice, rng
+    def __init__(self, agents: list[Agent], notice_s: float, rng: random.Random) -> None:
+        """`notice_s`: within which each agent learns of a change."""
+        self.agents = agents
+        self.notice_s = notice_s
+        self.rng = rng
         self.loop = asyncio.get_running_loop()
-        # When each agent hears of the latest change of a server, by the agent's number and the id.
-        self.heard_at: dict[tuple[int, str], float] = {}
+        # When each agent learns of the latest change of a server, by the agent's number and the id.
+        self.learns_at: dict[tuple[int, str], float] = {}
+
+    def publish_initial(self, entries: list[Entry]) -> None:
+        """Gives all agents a server's first entry at once, each its own, in their order."""
+        for agent, entry in zip(self.agents, entries, strict=True):
+            agent.update(entry)
+            agent.initial_entries.append(entry)
 
-    def tell(self, rows: list[Row], at_once: bool = False) -> None:
-        """`rows`: one server's entry for each agent, in their order.
+    def publish(self, entries: list[Entry]) -> None:
+        """Passes a change of one server on: an entry for each agent, in their order.
 
-        An agent hears of a server's changes in the order in which they happened.
+        An agent learns of a server's changes in the order in which they happened.
         """
-        for agent, row in zip(self.agents, rows, strict=True):
-            if at_once:
-                agent.learn(row)
-                agent.first.append(row)
-            else:
-                wait = self.rng.uniform(0.2, 1.0) * self.notice + agent.late
-                self._tell_later(agent, row, wait)
-
-    def _tell_later(self, agent: Agent, row: Row, wait: float) -> None:
-        key = agent.number, row["id"]
+        for agent, entry in zip(self.agents, entries, strict=True):
+            delay_s = self.rng.uniform(0.2, 1.0) * self.notice_s + agent.extra_delay_s
+            self._update_later(agent, entry, delay_s)
+
+    def _update_later(self, agent: Agent, entry: Entry, delay_s: float) -> None:
+        key = agent.number, entry["id"]
         # Timers for one moment may fire in any order.
-        earliest = self.heard_at.get(key, 0.0) + CHANGES_APART
-        self.heard_at[key] = max(self.loop.time() + wait, earliest)
-        self.loop.call_at(self.heard_at[key], agent.learn, row)
+        earliest = self.learns_at.get(key, 0.0) + MIN_TIME_BETWEEN_CHANGES_S
+        self.learns_at[key] = max(self.loop.time() + delay_s, earliest)
+        self.loop.call_at(self.learns_at[key], agent.update, entry)
--- a/ingress/testbed/ingresses.py
+++ b/ingress/testbed/ingresses.py
@@ -11,7 +11,7 @@
 import socket
 import sys
 import tomllib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -106,7 +106,7 @@
         self.waited = 0.0  # s for which the process that runs stood ready and got no core
 
     def config(
-        self, discovery: tuple[str, int], counter: tuple[str, int], known: dict[str, Any]
+        self, discovery: tuple[str, int], counter: tuple[str, int], known: Mapping[str, Any]
     ) -> Path:
         """Writes what the ingress is told at its start."""
         d, path = self.deployment, self.folder / "config.json"
--- a/ingress/testbed/world.py
+++ b/ingress/testbed/world.py
@@ -18,7 +18,7 @@
 from ingress.testbed.clients import AFTER_TERM, NOTICE, OLD, Customers
 from ingress.testbed.counter import CounterStandIn
 from ingress.testbed.deployment import zone
-from ingress.testbed.discovery_server import Agent, Roster
+from ingress.testbed.discovery_server import Agent, EndpointPublisher, Entry
 from ingress.testbed.ingresses import TERM_TIME, Ingress, run_line
 from ingress.testbed.links import Link, Side
 from ingress.testbed.load_generator import Crowd, processes
@@ -52,7 +52,7 @@
         self.unix = time.time() - self.clock()  # what turns the lab's clock into Unix time
         self.record, self.pairs = Record(), dict[int, Side]()
         self.rng = random.Random(f"world {scenario.seed}")
-        self.agents = [Agent(n, self.clock, self._told) for n in range(d.ingresses)]
+        self.agents = [Agent(n, self._told) for n in range(d.ingresses)]
         self.counter = CounterStandIn(d.counter_rate, d.counter_parts, self.clock)
         count = clients or processes(d.rate)
         self.customers: Customers | Crowd = (
@@ -107,7 +107,7 @@
 
     async def open(self) -> None:
         """Starts the stand-ins, then the ingresses.  Raises CantStart or OSError."""
-        self.roster = Roster(self.agents, self.deployment.notice, self.rng)
+        self.publisher = EndpointPublisher(self.agents, self.deployment.notice, self.rng)
         wanted = {f.target for f in self.scenario.faults if ">" in f.target}
         counter = await self.counter.open(len(self.agents))
         for n, agent in enumerate(self.agents):
@@ -115,7 +115,7 @@
             await self._lead(f"ingress-{n}>counter", counter[n], wanted)
         for server in self.servers:
             await self._listen(server, wanted)
-            self._tell(server, "ready", 0.0, at_once=True)
+            self.publisher.publish_initial(self._entries(server, "ready", 0.0))
         for ingress in self.ingresses:
             await self._lead(f"clients>{ingress.name}", ingress.address, wanted)
             door = self.customers.doors[ingress.number]
@@ -166,7 +166,7 @@
         config = ingress.config(
             self.addresses[f"ingress-{n}>list"],
             self.addresses[f"ingress-{n}>counter"],
-            known := self.agents[n].known(),
+            known := self.agents[n].full_list(),
         )
         await ingress.start(config)
         listed = {row["id"]: row["state"] for row in known["servers"]}
@@ -251,25 +251,27 @@
     def _told(self, ingress: int, server: str, state: str) -> None:
         self.record.told.append(Told(ingress, server, state, self.clock()))
 
-    def _tell(self, server: GridServer, state: str, started: float, at_once: bool = False) -> None:
+    def publish(self, server: GridServer, state: str, started: float) -> None:
+        """Passes on that a server's state has changed."""
+        self.publisher.publish(self._entries(server, state, started))
+
+    def _entries(self, server: GridServer, state: str, started: float) -> list[Entry]:
+        """Returns the server's entry in the list of each ingress, and notes its state."""
         self.states[server.name] = state, started
-        unix = started + self.unix if started else 0.0
-        self.roster.tell(
-            [
-                {
-                    "id": server.name,
-                    "addr": "{}:{}".format(*self.addresses[f"{i.name}>{server.name}"]),
-                    "zone": server.zone,
-                    "kind": server.kind,
-                    "cell": server.cell,
-                    "state": state,
-                    "weight": 1.0,
-                    "started_ms": int(unix * 1000),
-                }
-                for i in self.ingresses
-            ],
-            at_once,
-        )
+        started_ms = int((started + self.unix) * 1000) if started else 0
+        return [
+            {
+                "id": server.name,
+                "addr": "{}:{}".format(*self.addresses[f"{ingress.name}>{server.name}"]),
+                "zone": server.zone,
+                "kind": server.kind,
+                "cell": server.cell,
+                "state": state,
+                "weight": 1.0,
+                "started_ms": started_ms,
+            }
+            for ingress in self.ingresses
+        ]
 
     # Faults
 
@@ -355,17 +357,17 @@
             server.stop_listening()
             await self._listen(server)
             state, started = self.states[server.name]
-            self._tell(server, state, started)
+            self.publish(server, state, started)
             return
         ports = server.ports() if kind == "swap" else None
         if kind not in ("restart", "swap"):
-            self._tell(server, "draining", self.states[server.name][1])
+            self.publish(server, "draining", self.states[server.name][1])
             await asyncio.sleep(self.deployment.notice + self.deployment.drain_grace + 0.6)
             server.draining = True
             while server.busy or server.queue:
                 await asyncio.sleep(0.02)
         server.end()
-        self._tell(server, "gone", 0.0)
+        self.publish(server, "gone", 0.0)
         await asyncio.sleep(seconds)
         if kind == "swap":
             self._become(server, OLD if server.dialect != OLD else "http-v2")
@@ -373,18 +375,18 @@
             self._become(server, BECOMES[kind])
         await self._listen(server, ports=ports)
         server.begin_cold()
-        self._tell(server, "ready", self.clock())
+        self.publish(server, "ready", self.clock())
 
     async def _strike_list(self, kind: str, agents: list[Agent], seconds: float) -> None:
         for agent in agents:
             if kind == "list_late":
-                agent.late = seconds
+                agent.extra_delay_s = seconds
             else:
-                agent.strike(kind.removeprefix("list_"))
+                agent.set_fault(kind.removeprefix("list_"))
         await asyncio.sleep(seconds)
         for agent in agents:
-            agent.late = 0.0
-            agent.strike("")
+            agent.extra_delay_s = 0.0
+            agent.set_fault("")
 
     async def _strike_counter(self, fault: Fault) -> None:
         counter, seconds = self.counter, fault.figures.get("seconds", 0.0)
--- a/tests/test_fleet_hard.py
+++ b/tests/test_fleet_hard.py
@@ -197,7 +197,7 @@
         )
         for server in world.servers:
             server.end()
-            world._tell(server, "gone", 0.0)
+            world.publish(server, "gone", 0.0)
         left = world.clock()
         await stand.event(lambda: world.clock() > left + 16.0, "")
         meanwhile = [x.kind for x in world.record.tries if x.sent > left + 2.0 and x.kind]
@@ -207,7 +207,7 @@
         for server in world.servers:
             await world._listen(server)
             server.begin_cold()
-            world._tell(server, "ready", world.clock())
+            world.publish(server, "ready", world.clock())
         back = world.clock()
         await stand.event(
             lambda: world.clock() > back + 1.5
--- a/tests/test_lab_discovery.py
+++ b/tests/test_lab_discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from ingress.testbed.discovery_server import Agent, Roster
+from ingress.testbed.discovery_server import Agent, EndpointPublisher
 
 SERVERS = 100
 NOTICE_S = 0.05  # within which each agent hears of a change
@@ -15,19 +15,19 @@
     """Waits until the agent has heard of so many changes; the states of all servers."""
     unheard = agent.version + changes
     while agent.version < unheard:
-        await agent.news.wait()
-    return [row["state"] for row in agent.rows.values()]
+        await agent.changed.wait()
+    return [entry["state"] for entry in agent.entries.values()]
 
 
 def test_each_agent_hears_of_a_servers_changes_in_their_order() -> None:
     """Guards against agents that call a server gone for good which came back right after."""
 
     async def play() -> list[list[str]]:
-        agents = [Agent(number, lambda: 0.0, lambda *_: None) for number in range(3)]
-        roster = Roster(agents, NOTICE_S, random.Random("order"))
+        agents = [Agent(number, lambda *_: None) for number in range(3)]
+        publisher = EndpointPublisher(agents, NOTICE_S, random.Random("order"))
         for state in ("gone", "ready"):
             for number in range(SERVERS):
-                roster.tell([{"id": f"server-{number}", "state": state}] * len(agents))
+                publisher.publish([{"id": f"server-{number}", "state": state}] * len(agents))
         async with asyncio.timeout(10):
             return await asyncio.gather(*(hear_all(agent, 2 * SERVERS) for agent in agents))
 
