Eviction spares a client in the middle of its request while others send nothing

Callers saw the connection closed on half a request, where idle clients fill an instance's descriptors. Cause: what was read and is no complete request is not in the system's buffer, so the connection counted as silent, by the time at which it was accepted. Fix: candidates with a partial request are passed over as those with unread input are, unless all have input.

--- a/ingress/testbed/__init__.py
+++ b/ingress/testbed/__init__.py
@@ -1,4 +1,4 @@
-"""The proving ground: stand-ins, faults and a referee round real ingresses, all on loopback addresses.
+"""The testbed: stand-ins, faults and an invariant checker around real instances, on loopback.
 
 Nothing here imports the ingress: what judges it shares no code with it.
 """
--- a/ingress/testbed/__main__.py
+++ b/ingress/testbed/__main__.py
@@ -28,7 +28,8 @@
         prog="python -m ingress.testbed",
         description="Starts real ingresses with stand-ins for everything round them, on loopback addresses, "
         "lets things go wrong, and judges what was seen on the sockets.",
-        epilog="Example: python -m ingress.testbed --seconds 30 --faults 5 --seed 7.   Exit status: 0 all "
+        epilog="Example: python -m ingress.testbed --seconds 30 --faults 5 --seed 7.   Many drawn runs: "
+        "python -m ingress.testbed soak --help.   Exit status: 0 all "
         "rules kept; 1 a rule broke or an ingress crashed; 2 bad use or a bad scenario; 3 an ingress "
         "did not start; 4 the machine was too busy to judge; 5 the lab itself failed, so there is no "
         "verdict; 130 interrupted.",
@@ -213,7 +214,12 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    options = parser().parse_args(arguments)
+    words = sys.argv[1:] if arguments is None else arguments
+    if words[:1] == ["soak"]:
+        from ingress.testbed import soak
+
+        return soak.main(words[1:])
+    options = parser().parse_args(words)
     logging.basicConfig(level=logging.ERROR, stream=sys.stderr)
     try:
         scenario = load(options)
--- a/ingress/testbed/clients.py
+++ b/ingress/testbed/clients.py
@@ -237,12 +237,17 @@
         there = [
             (n, w)
             for n, w in zip(numbers, customer.weights, strict=True)
-            if self.doors[n].until > now
+            if self.doors[n].until > now or self._is_connected(n, customer)
         ]
         if not there:
             return numbers[0]
         return self.rng.choices([n for n, _ in there], [w for _, w in there])[0]
 
+    def _is_connected(self, ingress: int, customer: Customer) -> bool:
+        """Whether clients go on using a connection to an ingress that may be about to end."""
+        keeps = self.deployment.keeps_connections
+        return keeps and bool(self.doors[ingress].idle[customer.dialect])
+
     async def _ask(self, ask: Ask) -> None:
         ingress, patience = self._pick(ask.customer), ask.cls.deadline * self.rng.uniform(0.5, 1.0)
         c, self.count = ask.customer, self.count + 1
--- a/ingress/testbed/deployment.py
+++ b/ingress/testbed/deployment.py
@@ -1,14 +1,20 @@
-"""The deployment that is played: classes, plans, rules, and the settings that tell an ingress of them."""
+"""The deployment that is played: classes, plans, rules, and an instance's settings for them."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+MAX_DEADLINE_S = 3.0  # up to which a deadline puts SIGKILL off
+KILL_MARGIN_S = 0.7  # that SIGKILL leaves beyond it
+
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """`semantics`: safe, keyed or unsafe.  Times are seconds; `window` is how long a key is remembered."""
+    """A class of requests; times are seconds.
+
+    `semantics` is safe, keyed or unsafe; `window` is how long a key is remembered.
+    """
 
     name: str
     share: float
@@ -48,7 +54,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Sizes and figures of a run.  `busy` is the share of the fleet's work that the rate asks for."""
+    """Sizes and figures of a run.
+
+    `busy` is the share of the fleet's work that the rate asks for.
+    """
 
     ingresses: int = 3
     servers: int = 9
@@ -71,6 +80,7 @@
     sockets: int = 1024
     retries: float = 0.7  # share of the clients that try again, once
     marks: bool = False  # whether clients mark what they try again
+    keeps_connections: bool = False  # whether clients use open connections until they are closed
     classes: tuple[RequestClass, ...] = CLASSES
     plans: tuple[Plan, ...] = PLANS
     by_class: dict[str, RequestClass] = field(init=False, compare=False)
@@ -80,12 +90,19 @@
         object.__setattr__(self, "by_class", {c.name: c for c in self.classes})
         object.__setattr__(self, "by_plan", {p.name: p for p in self.plans})
 
+    @property
+    def kill_after_s(self) -> float:
+        """Seconds from SIGTERM to the earliest SIGKILL."""
+        longest = max(request_class.deadline for request_class in self.classes)
+        return min(longest, MAX_DEADLINE_S) + KILL_MARGIN_S
+
     @property
     def mean_work(self) -> float:
         """Seconds of one core that a request takes in the mean."""
         return self.busy * self.servers * self.cores / self.rate
 
     def with_(self, **changes: Any) -> Deployment:
+        """Returns the deployment with other figures."""
         return replace(self, **changes)
 
     def settings(self, number: int) -> dict[str, Any]:
@@ -155,4 +172,5 @@
 
 
 def zone(number: int) -> str:
+    """Returns the zone of an instance or a server."""
     return f"hall-{'ab'[number % 2]}"
--- a/ingress/testbed/discovery_server.py
+++ b/ingress/testbed/discovery_server.py
@@ -1,4 +1,4 @@
-"""Discovery's stand-in: the fleet's endpoint list, and an agent for each ingress with long polls."""
+"""Discovery's stand-in: the fleet's endpoint list, and an agent for each ingress."""
 
 from __future__ import annotations
 
@@ -45,6 +45,8 @@
         fault: "silent", "back", or empty for none.
         extra_delay_s: By which each change reaches the agent later.
         changed: Set, and replaced, with each change.
+        servers: The listening sockets: an ingress may be told to use another one.
+        polled_ports: Ports of those that were polled.
     """
 
     def __init__(self, number: int, on_notified: NotificationHandler) -> None:
@@ -58,14 +60,16 @@
         self.extra_delay_s = 0.0
         self.changed = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.server: asyncio.Server | None = None
+        self.servers: list[asyncio.Server] = []
+        self.polled_ports: set[int] = set()
 
     async def open(self) -> tuple[str, int]:
-        """Listens on a port of its own; returns its address."""
-        self.server = await asyncio.start_server(
+        """Listens on one more port; returns its address."""
+        server = await asyncio.start_server(
             self._serve, host(STAND_INS), 0, limit=MAX_REQUEST_HEAD_BYTES
         )
-        address: tuple[str, int] = self.server.sockets[0].getsockname()
+        self.servers.append(server)
+        address: tuple[str, int] = server.sockets[0].getsockname()
         return address
 
     def update(self, entry: Entry) -> None:
@@ -87,8 +91,8 @@
 
     def close(self) -> None:
         """Stops listening, and drops all connections."""
-        if self.server is not None:
-            self.server.close()
+        for server in self.servers:
+            server.close()
         for task in self.tasks:
             task.cancel()
 
@@ -118,6 +122,7 @@
         if method != "GET" or url.path != PATH:
             writer.write(NOT_FOUND)
             return
+        self.polled_ports.add(writer.get_extra_info("sockname")[1])
         body = await self._poll(parse_qs(url.query))
         while self.fault == "silent":
             await self.changed.wait()
--- a/ingress/testbed/ingresses.py
+++ b/ingress/testbed/ingresses.py
@@ -22,7 +22,6 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 READY = 20.0  # s until an ingress must have answered PING
-TERM_TIME = 3.7  # s from SIGTERM to the earliest SIGKILL
 LAST_LINES = 5
 TOLD = 1.0  # s for a process to say what it counted
 COUNTS = b" counts "
@@ -100,6 +99,7 @@
             self.command += f" --operator {shlex.quote(str(path))}"
         self.process: asyncio.subprocess.Process | None = None
         self.life: Life | None = None
+        self.is_up = False  # the process has answered a PING
         self.cpu, self.most_rss, self.files = 0.0, 0.0, 0
         self.memory: list[tuple[float, float]] = []  # when, and MB resident
         self.seen_cpu = 0.0  # of the process that runs, already in `cpu`
@@ -134,6 +134,12 @@
 
     async def start(self, config: Path) -> None:
         """Starts a process and waits until it answers PING.  Raises CantStart."""
+        await self.spawn(config)
+        await self._wait_until_up()
+
+    async def spawn(self, config: Path) -> None:
+        """Starts a process."""
+        self.is_up = False
         env = os.environ | {
             "EDGE_CONFIG": str(config),
             "EDGE_NAME": self.name,
@@ -153,10 +159,14 @@
             )
         self.life, self.seen_cpu, self.waited = Life(self.number, self.clock()), 0.0, 0.0
         self.record.lives.append(self.life)
+
+    async def _wait_until_up(self) -> None:
+        assert self.process is not None
         for _ in range(int(READY / 0.02)):
             if self.process.returncode is not None:
                 break
             if await self._pings():
+                self.is_up = True
                 return
             await asyncio.sleep(0.02)
         raise CantStart(
--- a/ingress/testbed/scenario.py
+++ b/ingress/testbed/scenario.py
@@ -33,6 +33,41 @@
         "ingress", "SIGKILL; started again after `seconds`", {"seconds": (1.0, 0.05, 600.0)}
     ),
     "term": Kind("ingress", "SIGTERM, SIGKILL after its time; started again when it has ended", {}),
+    "reload": Kind(
+        "ingress",
+        "SIGHUP `count` times, `ms` apart, each with discovery at another address",
+        {"count": (2.0, 1.0, 20.0), "ms": (5.0, 0.0, 1000.0)},
+    ),
+    "reload_term": Kind(
+        "ingress",
+        "SIGHUP and SIGTERM in one moment, SIGKILL after its time; started again",
+        {},
+    ),
+    "term_twice": Kind(
+        "ingress",
+        "SIGTERM twice, `ms` apart, SIGKILL after its time; started again",
+        {"ms": (100.0, 0.0, 3000.0)},
+    ),
+    "term_start": Kind(
+        "ingress",
+        "SIGKILL; started, SIGTERM `ms` after; started again",
+        {"ms": (200.0, 0.0, 3000.0)},
+    ),
+    "report": Kind(
+        "ingress",
+        "SIGUSR1 `count` times, `ms` apart",
+        {"count": (3.0, 1.0, 20.0), "ms": (5.0, 0.0, 1000.0)},
+    ),
+    "idle_clients": Kind(
+        "ingress",
+        "`count` clients connect, send nothing, and leave after `seconds`",
+        {"seconds": (2.0, 0.1, 600.0), "count": (100.0, 1.0, 5000.0)},
+    ),
+    "knocks": Kind(
+        "ingress",
+        "a client connects every `ms` and sends a PING, for `seconds`",
+        {"seconds": (2.0, 0.1, 600.0), "ms": (5.0, 1.0, 1000.0)},
+    ),
     "pause": Kind("ingress", "SIGSTOP, SIGCONT after `seconds`", {"seconds": (0.8, 0.05, 30.0)}),
     "slow": Kind(
         "server", "works `factor` times slower", {"seconds": _FOR, "factor": (5.0, 1.0, 100.0)}
@@ -113,8 +148,12 @@
         {"share": (0.5, 0.01, 1.0)},
     ),
 }
-# What a seed draws from: a generation changes only where a scenario says so.
-DRAWN = [kind for kind in KINDS if kind not in ("upgrade", "downgrade", "halfway", "swap")]
+GENERATION_KINDS = ("upgrade", "downgrade", "halfway", "swap")
+SIGNAL_KINDS = ("reload", "reload_term", "term_twice", "term_start", "report")
+CROWD_KINDS = ("idle_clients", "knocks")
+# What a seed draws from: a generation changes only where a scenario says so, and signals and crowds
+# are the soak's.
+DRAWN = [kind for kind in KINDS if kind not in GENERATION_KINDS + SIGNAL_KINDS + CROWD_KINDS]
 LINK = re.compile(r"(clients>ingress-(\d+)|ingress-(\d+)>(server-(\d+)|counter|list))")
 
 
--- a/ingress/testbed/world.py
+++ b/ingress/testbed/world.py
@@ -8,7 +8,7 @@
 import signal
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, Protocol
@@ -19,11 +19,12 @@
 from ingress.testbed.counter import CounterStandIn
 from ingress.testbed.deployment import zone
 from ingress.testbed.discovery_server import Agent, EndpointPublisher, Entry
-from ingress.testbed.ingresses import TERM_TIME, Ingress, run_line
+from ingress.testbed.ingresses import Ingress, run_line
 from ingress.testbed.links import Link, Side
 from ingress.testbed.load_generator import Crowd, processes
 from ingress.testbed.record import Record, Told
 from ingress.testbed.scenario import Fault, Scenario
+from ingress.testbed.signal_series import SignalSeries, play_crowd
 
 PROBE = 0.05  # s between looks at the machine's own lateness
 SAMPLE = 0.25  # s between looks at the ingresses' figures
@@ -121,7 +122,7 @@
             door = self.customers.doors[ingress.number]
             door.addresses = ingress.listeners | {OLD: self.addresses[f"clients>{ingress.name}"]}
             door.link = self.links.get(f"clients>{ingress.name}")
-        await asyncio.gather(*(self._start(ingress) for ingress in self.ingresses))
+        await asyncio.gather(*(self.start(ingress) for ingress in self.ingresses))
         for ingress in self.ingresses:
             ingress.sample()
             ingress.cpu = 0.0  # what a first start takes is not the requests'
@@ -161,13 +162,18 @@
         for n, address in enumerate(await server.open(len(self.ingresses), ports)):
             await self._lead(f"ingress-{n}>{server.name}", address, wanted or set(self.links))
 
-    async def _start(self, ingress: Ingress) -> None:
+    def write_config(self, ingress: Ingress) -> tuple[Path, Mapping[str, Any]]:
+        """Writes an ingress's configuration as things are now; its path, and the list in it."""
+        number = ingress.number
+        known = self.agents[number].full_list()
+        discovery = self.addresses[f"ingress-{number}>list"]
+        counter = self.addresses[f"ingress-{number}>counter"]
+        return ingress.config(discovery, counter, known), known
+
+    async def start(self, ingress: Ingress) -> None:
+        """Starts an ingress, and sends clients to it once it is up."""
         n = ingress.number
-        config = ingress.config(
-            self.addresses[f"ingress-{n}>list"],
-            self.addresses[f"ingress-{n}>counter"],
-            known := self.agents[n].full_list(),
-        )
+        config, known = self.write_config(ingress)
         await ingress.start(config)
         listed = {row["id"]: row["state"] for row in known["servers"]}
         assert ingress.life is not None
@@ -284,6 +290,10 @@
         number = int(fault.target.rpartition("-")[2]) if fault.target[-1].isdecimal() else -1
         seconds = fault.figures.get("seconds", 0.0)
         match fault.kind:
+            case "reload" | "reload_term" | "term_twice" | "term_start" | "report":
+                await SignalSeries(self, self.ingresses[number]).play(fault)
+            case "idle_clients" | "knocks":
+                await play_crowd(self.addresses[f"clients>ingress-{number}"], fault)
             case "kill" | "term" | "pause":
                 await self._strike_ingress(fault.kind, self.ingresses[number], seconds)
             case "slow":
@@ -338,17 +348,27 @@
             await process.wait()
             await asyncio.sleep(seconds)
         else:
-            door.until = self.clock() + AFTER_TERM
-            ingress.signal(signal.SIGTERM, "term")
-            try:
-                async with asyncio.timeout(TERM_TIME):
-                    await process.wait()
-            except TimeoutError:
-                life.killed_late = True
-                ingress.signal(signal.SIGKILL)
-                await process.wait()
+            await self.terminate(ingress)
         await asyncio.sleep(0)
-        await self._start(ingress)
+        await self.start(ingress)
+
+    async def terminate(self, ingress: Ingress, *before: signal.Signals) -> None:
+        """Sends SIGTERM, behind other signals, and SIGKILL at the earliest that is allowed."""
+        process = ingress.process
+        life = ingress.life
+        assert process is not None
+        assert life is not None
+        self.customers.doors[ingress.number].until = self.clock() + AFTER_TERM
+        for number in before:
+            ingress.signal(number)
+        ingress.signal(signal.SIGTERM, "term")
+        try:
+            async with asyncio.timeout(self.deployment.kill_after_s):
+                await process.wait()
+        except TimeoutError:
+            life.killed_late = True
+            ingress.signal(signal.SIGKILL)
+            await process.wait()
 
     async def _strike_server(self, kind: str, server: GridServer, seconds: float) -> None:
         if server.closed:
--- a/ingress/transport/idle_connections.py
+++ b/ingress/transport/idle_connections.py
@@ -61,15 +61,16 @@
 def _choose(
     queue: dict[ClientConnection, None], now: float, min_idle_time_s: float
 ) -> ClientConnection | None:
-    """Returns the first connection without unread input among those idle for long enough.
+    """Returns the first connection without input among those idle for long enough.
 
-    One whose next request has arrived and is not read yet is returned only if all have one.
+    One whose next request has arrived, in part or unread, is returned only if all have one.
     """
     first: ClientConnection | None = None
     for connection in islice(queue, MAX_CANDIDATES):
         if now - connection.last_used_at < min_idle_time_s:
             continue
-        if connection.transport is None or not connection.has_unread_input():
+        has_input = connection.unparsed or connection.has_unread_input()
+        if connection.transport is None or not has_input:
             return connection
         if first is None:
             first = connection
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -28,6 +28,7 @@
 from ingress.protocol_versions.groups import Grouping
 from ingress.protocol_versions.keys import uuid_of
 from ingress.resp.backend_protocol import RespBackendProtocol
+from ingress.transport.client_connection import ClientConnection
 
 EVERY = 15  # requests: how often the fault shows
 counts = {"answers": 0}
@@ -37,6 +38,7 @@
     Exchange.backends_changed,
 )
 real_ended, real_init = Exchange.attempt_ended, Application.__init__
+real_reload = service._reload
 
 
 def strikes() -> bool:
@@ -278,8 +280,23 @@
     )
 
 
+def close_unread(self: ClientConnection) -> None:
+    """Closes a connection at SIGTERM though a request has arrived on it."""
+    if self.transport is not None and not self.pending:
+        self.transport.abort()
+
+
+def drops_second_reload(application: Application) -> None:
+    """Takes every other SIGHUP for a repetition of the one before."""
+    counts["reloads"] = counts.get("reloads", 0) + 1
+    if counts["reloads"] % 2:
+        real_reload(application)
+
+
 FAULTS: dict[str, list[tuple[Any, str, Any]]] = {
     "none": [],
+    "close_unread": [(ClientConnection, "close_if_idle", close_unread)],
+    "drops_second_reload": [(service, "_reload", drops_second_reload)],
     "lose": [(Exchange, "_answer", lose)],
     "late": [(Exchange, "_answer", late)],
     "twice": [(Exchange, "_answer", twice)],
--- a/tests/handover_clients.py
+++ b/tests/handover_clients.py
@@ -260,7 +260,7 @@
         process = self.world.ingresses[number].process
         assert process is not None
         await process.wait()
-        await self.world._start(self.world.ingresses[number])
+        await self.world.start(self.world.ingresses[number])
 
 
 Case = Callable[[HandoverFleet], Awaitable[None]]
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -207,6 +207,29 @@
     run(body())
 
 
+@pytest.mark.interpreted
+def test_evicts_silent_connections_before_one_in_the_middle_of_a_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a slow client that loses its half sent request to others that send nothing."""
+    monkeypatch.setattr(idle_connections, "MIN_SILENCE_BEFORE_EVICTION_S", 0.0)
+
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            served.clients.max_connections = 40
+            slow = await Caller.to(address)
+            ping = resp(b"PING")
+            slow.writer.write(ping[:-3])
+            await until(lambda: any(c.unparsed for c in served.clients.connections))
+            silent = [await Caller.to(address) for _ in range(200)]
+            slow.writer.write(ping[-3:])
+            assert await slow.answer() == b"PONG"
+            for caller in silent:
+                caller.writer.close()
+
+    run(body())
+
+
 def test_closes_after_consecutive_malformed_requests() -> None:
     async def body() -> None:
         async with serving(config()) as (served, address):
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,117 @@
+"""The soak: what a seed draws, a short one that keeps all rules, and breaches that it names."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from ingress.testbed import __main__ as command
+from ingress.testbed.deployment import Deployment
+from ingress.testbed.report import report
+from ingress.testbed.scenario import CROWD_KINDS, KINDS, SIGNAL_KINDS, Fault, Scenario, check_target
+from ingress.testbed.soak import draw_run
+from ingress.testbed.world import standing
+
+ROOT = Path(__file__).resolve().parent.parent
+FAULTY = f"exec {sys.executable} -m tests.faulty"
+PLAYS = 3  # at most, until the machine was quiet enough for a verdict
+SECONDS = 10.0
+
+
+def soak(*arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "ingress.testbed", "soak", "--seconds", str(SECONDS), *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_a_seed_draws_the_same_run_each_time_and_only_allowed_faults(seed: int) -> None:
+    run = draw_run(seed, SECONDS)
+    assert run == draw_run(seed, SECONDS)
+    assert run != draw_run(seed + 1, SECONDS)
+    for fault in run.faults:
+        check_target("drawn", fault.kind, fault.target, run.deployment)
+        for key, (_, least, most) in KINDS[fault.kind].figures.items():
+            assert least <= fault.figures[key] <= most
+
+
+def test_the_seeds_draw_all_signals_crowds_and_kill_times() -> None:
+    """Guards against a soak that never plays what it is for."""
+    runs = [draw_run(seed, SECONDS) for seed in range(50)]
+    kinds = {fault.kind for run in runs for fault in run.faults}
+    assert kinds >= {*SIGNAL_KINDS, *CROWD_KINDS}
+    assert {run.deployment.kill_after_s for run in runs} >= {1.5, 3.7}
+
+
+@pytest.mark.parametrize("seed", [101, 102, 103, 104])
+def test_a_drawn_run_keeps_all_rules(seed: int, tmp_path: Path) -> None:
+    path = tmp_path / "results.json"
+    done = soak("--seeds", "1", "--first-seed", str(seed), "--json", str(path))
+    assert done.returncode == 0, done.stdout + done.stderr
+    [result] = json.loads(path.read_text(encoding="utf-8"))
+    assert result["judged"]
+    assert result["served"] > 50
+
+
+def found_by(fault: str, faults: tuple[Fault, ...]) -> list[str]:
+    """Returns the breaches and crashes of a run with a faulty ingress."""
+
+    async def play() -> tuple[list[str], bool]:
+        deployment = Deployment(rate=150.0, keeps_connections=True)
+        scenario = Scenario("soak", 8.0, 9, deployment, faults)
+        async with standing(scenario, f"{FAULTY} {fault}") as world:
+            await world.play()
+        figures, verdict = report(world)
+        return figures["breaches"] + world.crashes, verdict.judged
+
+    for _ in range(PLAYS):
+        found, judged = uvloop.run(asyncio.wait_for(play(), 60.0))
+        if judged or found:
+            break
+    return found
+
+
+TERMS = tuple(Fault(0.5 + n, "term", f"ingress-{n}", {}) for n in range(3))
+RELOADS = (Fault(1.0, "reload", "ingress-0", {"count": 2.0, "ms": 50.0}),)
+
+
+@pytest.mark.parametrize(
+    ("fault", "faults", "words"),
+    [
+        ("close_unread", TERMS, "lost: the connection ended"),
+        ("drops_second_reload", RELOADS, "did not take over the last of 2 configurations"),
+    ],
+)
+def test_the_soak_names_a_seeded_breach(fault: str, faults: tuple[Fault, ...], words: str) -> None:
+    found = found_by(fault, faults)
+    assert any(words in text for text in found), found
+    assert not any(words in text for text in found_by("none", faults))
+
+
+def test_bad_use_and_an_interrupt_end_with_their_status() -> None:
+    assert command.main(["soak", "--seeds", "0"]) == command.BAD_USE
+    with subprocess.Popen(
+        [sys.executable, "-m", "ingress.testbed", "soak", "--seeds", "2", "--seconds", "60"],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        with pytest.raises(subprocess.TimeoutExpired):
+            process.wait(4)
+        process.send_signal(signal.SIGINT)
+        assert process.wait(30) == command.INTERRUPTED
+        assert process.stderr is not None
+        assert "nothing is left behind" in process.stderr.read()
