A fleet of backends that has started as a whole takes first submissions at once

First requests go to the next listed backend on the ring now; marked retries are rejected as long as there may have been no home within the window.

The new test failed before.

--- a/ingress/idempotency/key_affinity.py
+++ b/ingress/idempotency/key_affinity.py
@@ -217,6 +217,14 @@
                 return cell
         return NOT_LISTED
 
+    def settling_cell(self, position: int) -> int:
+        """Returns the cell of the next backend that takes requests, in effect or not, or 0."""
+        for name in self._names_from(position, points_per_backend(len(self.histories))):
+            for cell, is_ready in self.histories[name].ready.items():
+                if is_ready:
+                    return cell
+        return NOT_LISTED
+
     def possible_cells(self, position: int, period: Period) -> set[int]:
         """Returns the cells to which gateways may have sent a position's submission in a period.
 
@@ -240,8 +248,8 @@
                     found.add(cell)
                 may_be_passed_over |= False in availability
             if not may_be_passed_over or len(found) > 1:
-                break
-        return found
+                return found
+        return {ANY_CELL}  # there may have been no home
 
     def _availability(self, cell: int, start: float, end: float) -> set[bool]:
         """Returns whether a cell was available, both if it was for a part of the time."""
--- a/ingress/idempotency/placement.py
+++ b/ingress/idempotency/placement.py
@@ -11,7 +11,7 @@
 from ingress.core.calls import Call
 from ingress.core.ports import Attempt, PlacementConstraint
 from ingress.idempotency.in_doubt import InDoubtTable, Submission
-from ingress.idempotency.key_affinity import KeyAffinity, Period, ring_position
+from ingress.idempotency.key_affinity import NOT_LISTED, KeyAffinity, Period, ring_position
 from ingress.policy.events import Backend, Outcome, Readiness
 
 log = logging.getLogger(__name__)
@@ -107,6 +107,8 @@
             return self._reject(wait)
         position = ring_position("/".join(submission))
         home = affinity.home_cell(position, now, False)
+        if home == NOT_LISTED:
+            return self._constraint_while_all_settle(call, position)
         available = affinity.home_cell(position, now, True) or home
         if not affinity.ready_counts.get(available):
             # Other gateways may not have heard that it takes no requests any more.
@@ -118,6 +120,13 @@
         self.counts[HOME_AVAILABLE if home == available else HOME_UNAVAILABLE] += 1
         return PlacementConstraint(available)
 
+    def _constraint_while_all_settle(self, call: Call, position: int) -> PlacementConstraint:
+        """Returns where a call may run while no backend's generation is in effect."""
+        cell = self.key_affinity.settling_cell(position)
+        if call.is_retry or cell == NOT_LISTED:
+            return self._reject(self.window_s / 2)
+        return PlacementConstraint(cell)
+
     def _until_all_heard_alike(self, now: float) -> float:
         """Returns for how many seconds others may hold older lists than the first one here."""
         return self.key_affinity.first_list_at + self.key_affinity.list_skew_s - now
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -305,6 +305,27 @@
     assert placement.admit(call(key, True), 22.0 + 2 * LIST_SKEW_S + WINDOW_S).cell == OLD
 
 
+def test_a_fleet_that_has_started_as_a_whole_takes_first_requests_and_no_retries() -> None:
+    """Guards against rejecting all submissions until the first backend is warm."""
+    first, second = Placement(WINDOW_S, SETTLE_S), Placement(WINDOW_S, SETTLE_S)
+    started = [backend(n, OLD if n < 2 else NEW, started=100.0) for n in range(5)]
+    for placement in (first, second):
+        placement.endpoints_changed(started, True, 100.1)
+    now = 100.1 + LIST_SKEW_S
+    homes = [first.admit(call(n), now).cell for n in range(50)]
+    assert set(homes) == {OLD, NEW}
+    assert homes == [second.admit(call(n), now).cell for n in range(50)]
+    assert not any(second.admit(call(n, True), now).cell for n in range(50))
+    # One backend settles before the others: all keys are its own, and retries wait.
+    for placement in (first, second):
+        placement.endpoints_changed([backend(9, NEW, started=99.5)], False, 100.7)
+    assert {first.admit(call(n), 101.0).cell for n in range(50)} - {OLD, NEW} == set()
+    assert not any(second.admit(call(n, True), 101.0).cell for n in range(50))
+    # A while later all homes are known, and what was sent before is told from it.
+    later = 100.0 + SETTLE_S + 2 * LIST_SKEW_S + WINDOW_S + 0.1
+    assert all(second.admit(call(n, True), later).cell for n in range(50))
+
+
 def test_a_timeline_that_forgot_what_held_says_so() -> None:
     """Guards against a backend that changes often and is taken for one that did not."""
     timeline = Timeline(0)
--- a/tests/test_placement_fleet.py
+++ b/tests/test_placement_fleet.py
@@ -167,17 +167,20 @@
         return True
 
 
-def backends(old: int, new: int) -> dict[str, Backend]:
-    return dict(listed(f"s{n}", 1 if n < old else 2) for n in range(old + new))
+def backends(old: int, new: int, started_at: float = 0.0) -> dict[str, Backend]:
+    return dict(listed(f"s{n}", 1 if n < old else 2, started_at) for n in range(old + new))
 
 
-@pytest.mark.parametrize(("old", "new"), [(5, 4), (8, 1), (9, 0)])
+@pytest.mark.parametrize(
+    ("old", "new", "started_at"), [(5, 4, 0.0), (8, 1, 0.0), (9, 0, 0.0), (5, 4, EPOCH)]
+)
 @pytest.mark.parametrize("seed", range(12))
 def test_no_two_gateways_place_a_submission_and_its_marked_retry_in_two_cells(
-    old: int, new: int, seed: int
+    old: int, new: int, started_at: float, seed: int
 ) -> None:
     """Guards against a submission recorded twice while backends change and gateways restart."""
-    fleet = Fleet(random.Random(f"placement {seed} {old} {new}"), backends(old, new))
+    rng = random.Random(f"placement {seed} {old} {new}")
+    fleet = Fleet(rng, backends(old, new, started_at))
     fleet.play()
     assert fleet.restarts >= 2
     assert fleet.changes >= 5
