--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -118,6 +118,7 @@
     run(body())
 
 
+@pytest.mark.interpreted
 def test_looks_for_hangups_twice_within_the_time_after_which_nothing_may_begin() -> None:
     """Guards against an attempt for a client that has gone, begun while a late poll is awaited."""
     delays: list[float] = []
