Test of the agents' order counts versions from before the changes, not from when it begins to wait

Cause: the version to wait for was read when the waiting tasks first ran; on a busy machine the first changes had come by then, and the test waited for more than there are.

--- a/tests/test_lab_discovery.py
+++ b/tests/test_lab_discovery.py
@@ -11,10 +11,9 @@
 NOTICE_S = 0.05  # within which each agent hears of a change
 
 
-async def hear_all(agent: Agent, changes: int) -> list[str]:
-    """Waits until the agent has heard of so many changes; the states of all servers."""
-    unheard = agent.version + changes
-    while agent.version < unheard:
+async def hear_all(agent: Agent, version: int) -> list[str]:
+    """Waits until the agent holds a version of the list; the states of all servers in it."""
+    while agent.version < version:
         await agent.changed.wait()
     return [entry["state"] for entry in agent.entries.values()]
 
@@ -25,10 +24,11 @@
     async def play() -> list[list[str]]:
         agents = [Agent(number, lambda *_: None) for number in range(3)]
         publisher = EndpointPublisher(agents, NOTICE_S, random.Random("order"))
+        last_version = agents[0].version + 2 * SERVERS  # each agent begins with the same one
         for state in ("gone", "ready"):
             for number in range(SERVERS):
                 publisher.publish([{"id": f"server-{number}", "state": state}] * len(agents))
         async with asyncio.timeout(10):
-            return await asyncio.gather(*(hear_all(agent, 2 * SERVERS) for agent in agents))
+            return await asyncio.gather(*(hear_all(agent, last_version) for agent in agents))
 
     assert asyncio.run(play()) == [["ready"] * SERVERS] * 3
