A connection that can't be attached ends neither a stall's count nor keeps a place

Found in the read-through: _attach handled OSError alone. Not seen anywhere.

All errors are handled alike now, and a connection counts as read whatever became of it.

--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -137,14 +137,22 @@
             await self.loop.connect_accepted_socket(
                 lambda: cast(asyncio.Protocol, connection), sock
             )
-        except OSError as error:
-            log.warning("attaching an accepted connection failed: %s", error)
+            if came_in_a_stall:
+                await self._pass_turns(TURNS_TO_FIRST_READ)
+        except Exception as error:  # whatever it is, it must not keep a place for good
+            log.warning(
+                "attaching an accepted connection failed: %s: %s", type(error).__name__, error
+            )
             sock.close()
             self.remove(connection)
-        if came_in_a_stall:
-            for _ in range(TURNS_TO_FIRST_READ):
-                await asyncio.sleep(0)
-            self.stall_detector.connection_read()
+        finally:
+            if came_in_a_stall:
+                self.stall_detector.connection_read()
+
+    async def _pass_turns(self, count: int) -> None:
+        """Lets the event loop turn so often: it reads in each."""
+        for _ in range(count):
+            await asyncio.sleep(0)
 
     def _pause_accepting(self) -> None:
         """Leaves new connections in the backlog until one has left, or the next sweep."""
--- a/tests/test_shutdown_and_stalls.py
+++ b/tests/test_shutdown_and_stalls.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+from typing import Any
 
 import pytest
 
@@ -225,6 +227,49 @@
     test_a_stall_of_the_process_counts_against_the_time_of_waiting_requests()
 
 
+class FailingToAttach:
+    """An event loop that can't attach accepted connections, and is the real one otherwise."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.failures = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def connect_accepted_socket(self, factory: Any, sock: socket.socket) -> None:
+        self.failures += 1
+        raise RuntimeError("not attached")
+
+
+@pytest.mark.interpreted
+def test_a_stall_counts_as_over_though_a_connection_could_not_be_attached() -> None:
+    """Guards against one failure after which all requests count as old for good."""
+
+    async def body() -> None:
+        still = StallingClock()
+        async with serving(config(), still) as (served, address):
+            caller = await connected_caller(address)
+            loop = served.clients.loop
+            failing = FailingToAttach(loop)
+            served.clients.loop = failing  # type: ignore[assignment]
+            waiting = [
+                socket.create_connection(address) for _ in range(2 * client_listener.ACCEPT_BATCH)
+            ]
+            still.stalled_for += 1.2
+            await until(lambda: served.clients.stall_detector.stalled_since is not None)
+            await until(lambda: failing.failures == len(waiting))
+            served.clients.loop = loop
+            async with asyncio.timeout(2):
+                await until(lambda: served.clients.stall_detector.stalled_since is None)
+            assert len(served.clients.connections) == 1  # none keeps a place
+            assert await caller.ask(resp(b"PING")) == b"PONG"
+            for sock in waiting:
+                sock.close()
+
+    run(body())
+
+
 def test_rejects_a_request_whose_time_ran_out_in_a_stall_without_asking_the_policy() -> None:
     async def body() -> None:
         still = StallingClock()
