Read-through: log level checked, one wait for a kill, fault kinds in a module of their own

- INGRESS_LOG_LEVEL with an unknown value ends the program with status 2 and its name; it was taken for "info".
- The wait for the end after SIGTERM stood twice (world, signal_series): World.wait_or_kill.
- Counts of drawn faults are whole numbers; the hold-up test warms its connection in plain steps.

No reply, byte or setting changes but the exit status named above.

--- a/ingress/idempotency/placement.py
+++ b/ingress/idempotency/placement.py
@@ -103,7 +103,7 @@
             return self._reject(wait)
         if not affinity.spans_several_cells(now - self.window_s):
             return ANYWHERE
-        if (wait := self._until_all_heard_alike(now)) > 0:
+        if (wait := self._until_lists_agree(now)) > 0:
             return self._reject(wait)
         position = ring_position("/".join(submission))
         home = affinity.home_cell(position, now, False)
@@ -127,7 +127,7 @@
             return self._reject(self.window_s / 2)
         return PlacementConstraint(cell)
 
-    def _until_all_heard_alike(self, now: float) -> float:
+    def _until_lists_agree(self, now: float) -> float:
         """Returns for how many seconds others may hold older lists than the first one here."""
         return self.key_affinity.first_list_at + self.key_affinity.list_skew_s - now
 
@@ -136,7 +136,7 @@
 
         Backends that were on them keep their places there until all gateways have heard.
         """
-        return self._until_all_heard_alike(now) + self.key_affinity.list_skew_s + self.window_s
+        return self._until_lists_agree(now) + self.key_affinity.list_skew_s + self.window_s
 
     def _uncertain_for(self, home: int, available: int, now: float) -> float:
         """Returns after how many seconds a retry has a chance, its home having changed lately."""
--- a/ingress/service.py
+++ b/ingress/service.py
@@ -25,7 +25,9 @@
 EXIT_CANNOT_LISTEN = 1
 EXIT_BAD_CONFIGURATION = 2
 CONFIG_VARIABLE = "EDGE_CONFIG"  # names the platform's configuration file
-LOG_LEVEL_VARIABLE = "INGRESS_LOG_LEVEL"  # "debug": also where each idempotent request is placed
+LOG_LEVEL_VARIABLE = "INGRESS_LOG_LEVEL"
+# "debug": also where each idempotent request is placed.
+LOG_LEVELS = {"info": logging.INFO, "debug": logging.DEBUG}
 OPERATOR_OPTION = "--operator"
 DEFERRED_SIGNALS = {signal.SIGHUP, signal.SIGUSR1}  # until their handlers are installed
 SETTLE_S = 0.01  # for what the start has left in the event loop
@@ -102,9 +104,16 @@
 
 
 def log_level() -> int:
-    """Returns from which level on messages are logged."""
-    debug = os.environ.get(LOG_LEVEL_VARIABLE, "").lower() == "debug"
-    return logging.DEBUG if debug else logging.INFO
+    """Returns from which level on messages are logged.
+
+    Raises:
+        ConfigurationError: The variable names no level.
+    """
+    name = os.environ.get(LOG_LEVEL_VARIABLE, "") or "info"
+    if name not in LOG_LEVELS:
+        allowed = " or ".join(LOG_LEVELS)
+        raise ConfigurationError(f"{LOG_LEVEL_VARIABLE}: {name!r} is not {allowed}")
+    return LOG_LEVELS[name]
 
 
 def main(arguments: list[str], form: Form) -> int:
@@ -119,10 +128,10 @@
     """
     # A signal that comes before its handler is installed waits, so that no reload is missed.
     signal.pthread_sigmask(signal.SIG_BLOCK, DEFERRED_SIGNALS)
-    logging.basicConfig(
-        level=log_level(), stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
-    )
     try:
+        logging.basicConfig(
+            level=log_level(), stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
+        )
         config = load()
         operator = load_operator(arguments)
     except ConfigurationError as error:
--- a/ingress/testbed/signal_series.py
+++ b/ingress/testbed/signal_series.py
@@ -101,16 +101,9 @@
         config, _ = self.world.write_config(ingress)
         await ingress.spawn(config)
         await asyncio.sleep(gap_s)
-        assert ingress.process is not None
         assert ingress.life is not None
         ingress.signal(signal.SIGTERM, "closed")
-        try:
-            async with asyncio.timeout(self.world.deployment.kill_after_s):
-                await ingress.process.wait()
-        except TimeoutError:
-            ingress.life.killed_late = True
-            ingress.signal(signal.SIGKILL)
-            await ingress.process.wait()
+        await self.world.wait_or_kill(ingress)
         ingress.life.down = self.world.clock()
         await self.world.start(ingress)
 
--- a/ingress/testbed/soak.py
+++ b/ingress/testbed/soak.py
@@ -19,16 +19,9 @@
 from pathlib import Path
 
 from ingress.testbed.deployment import CLASSES, Deployment
+from ingress.testbed.fault_kinds import CROWD_KINDS, GENERATION_KINDS, KINDS, SIGNAL_KINDS
 from ingress.testbed.report import report
-from ingress.testbed.scenario import (
-    CROWD_KINDS,
-    GENERATION_KINDS,
-    KINDS,
-    SIGNAL_KINDS,
-    Fault,
-    Scenario,
-    draw,
-)
+from ingress.testbed.scenario import Fault, Scenario, draw
 from ingress.testbed.world import standing
 
 BROKEN = 1
@@ -109,8 +102,8 @@
         key: round(min(most, max(least, usual * rng.uniform(0.0, 2.0))), 3)
         for key, (usual, least, most) in KINDS[kind].figures.items()
     }
-    if kind == "idle_clients":
-        figures["count"] = IDLE_CLIENTS
+    if "count" in figures:
+        figures["count"] = IDLE_CLIENTS if kind == "idle_clients" else round(figures["count"])
     at = rng.uniform(FIRST_FAULT_SHARE, LAST_FAULT_SHARE) * seconds
     return Fault(round(at, 2), kind, f"{strikes}-{rng.randrange(count)}", figures)
 
--- a/ingress/testbed/world.py
+++ b/ingress/testbed/world.py
@@ -296,26 +296,12 @@
                 await play_crowd(self.addresses[f"clients>ingress-{number}"], fault)
             case "kill" | "term" | "pause":
                 await self._strike_ingress(fault.kind, self.ingresses[number], seconds)
-            case "slow":
-                server = self.servers[number]
-                server.slower = fault.figures["factor"]
-                await asyncio.sleep(seconds)
-                server.slower = 1.0
-            case "reset" | "silent" | "spoil" | "busy" | "unclear" | "later":
-                server = self.servers[number]
-                server.fault = fault.kind
-                await asyncio.sleep(seconds)
-                server.fault = ""
-                if fault.kind == "silent":
-                    for seat in list(server.seats):
-                        seat.abort()  # what it took while silent is never answered
+            case "slow" | "reset" | "silent" | "spoil" | "busy" | "unclear" | "later":
+                await self._disturb_server(fault, self.servers[number])
             case "move" | "restart" | "drain" | "upgrade" | "downgrade" | "halfway" | "swap":
                 await self._strike_server(fault.kind, self.servers[number], seconds)
             case "delay" | "cut" | "half_close" | "dribble":
-                link = self.links[fault.target]
-                link.strike(fault.kind, fault.figures.get("ms", 0.0))
-                await asyncio.sleep(seconds)
-                link.strike("pass")
+                await self._disturb_link(fault, self.links[fault.target])
             case "list_late" | "list_silent" | "list_back":
                 struck = self.agents if number < 0 else [self.agents[number]]
                 await self._strike_list(fault.kind, struck, seconds)
@@ -328,6 +314,25 @@
             case _:
                 await self._strike_counter(fault)
 
+    async def _disturb_server(self, fault: Fault, server: GridServer) -> None:
+        if fault.kind == "slow":
+            server.slower = fault.figures["factor"]
+        else:
+            server.fault = fault.kind
+        await asyncio.sleep(fault.figures["seconds"])
+        if fault.kind == "slow":
+            server.slower = 1.0
+        else:
+            server.fault = ""
+        if fault.kind == "silent":
+            for seat in list(server.seats):
+                seat.abort()  # what it took while silent is never answered
+
+    async def _disturb_link(self, fault: Fault, link: Link) -> None:
+        link.strike(fault.kind, fault.figures.get("ms", 0.0))
+        await asyncio.sleep(fault.figures["seconds"])
+        link.strike("pass")
+
     async def _strike_ingress(self, kind: str, ingress: Ingress, seconds: float) -> None:
         process, life, door = ingress.process, ingress.life, self.customers.doors[ingress.number]
         if process is None or life is None or process.returncode is not None or life.how:
@@ -353,15 +358,19 @@
         await self.start(ingress)
 
     async def terminate(self, ingress: Ingress, *before: signal.Signals) -> None:
-        """Sends SIGTERM, behind other signals, and SIGKILL at the earliest that is allowed."""
-        process = ingress.process
-        life = ingress.life
-        assert process is not None
-        assert life is not None
+        """Sends SIGTERM, behind other signals, and waits for the end."""
         self.customers.doors[ingress.number].until = self.clock() + AFTER_TERM
         for number in before:
             ingress.signal(number)
         ingress.signal(signal.SIGTERM, "term")
+        await self.wait_or_kill(ingress)
+
+    async def wait_or_kill(self, ingress: Ingress) -> None:
+        """Waits for the end after SIGTERM; sends SIGKILL at the earliest that is allowed."""
+        process = ingress.process
+        life = ingress.life
+        assert process is not None
+        assert life is not None
         try:
             async with asyncio.timeout(self.deployment.kill_after_s):
                 await process.wait()
--- a/tests/test_hold_ups.py
+++ b/tests/test_hold_ups.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 
 from ingress.core.calls import Call
 from ingress.policy.actions import Action, StartAttempt
-from ingress.policy.events import AttemptEnded, Backend, Event, Outcome, Readiness, RequestReceived
+from ingress.policy.events import AttemptEnded, Backend, Event, Outcome, Readiness
 from ingress.policy.settings import MAX_HOLD_UP_S
 from ingress.resp.backend_protocol import RespBackendProtocol
 from tests.peers import SETTINGS, Caller, backend, command, config, entry, run, until, value
@@ -63,15 +65,11 @@
                 config(entry(first.address), entry(second.address, "s2"), settings=KEYED), clock
             ) as (served, address),
         ):
-            stub = ScriptedPolicy(plan)
+            stub = ScriptedPolicy(partial(start_attempt, backend="s2"))
             served.exchange.policy = stub
             caller = await Caller.to(address)
             # The second backend's connection is up already.
-            caller.writer.write(command("warm"))
-            served.exchange.policy.plan = lambda event: (
-                [StartAttempt(event.request_id, "s2")] if isinstance(event, RequestReceived) else []
-            )
-            await caller.answer()
+            await caller.ask(command("warm"))
             stub.plan = plan
             held_up.written_at.clear()
             caller.writer.write(command("a", "order"))
--- a/tests/test_lab_scenarios.py
+++ b/tests/test_lab_scenarios.py
@@ -15,9 +15,10 @@
 
 from ingress.testbed import __main__ as command
 from ingress.testbed.deployment import Deployment
+from ingress.testbed.fault_kinds import KINDS
 from ingress.testbed.ingresses import free_ports
 from ingress.testbed.loopback_addresses import host
-from ingress.testbed.scenario import KINDS, BadScenario, check_target, draw, read_scenario
+from ingress.testbed.scenario import BadScenario, check_target, draw, read_scenario
 
 ROOT = Path(__file__).resolve().parent.parent
 NAMES = sorted(path.stem for path in command.SCENARIOS.glob("*.toml"))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -234,6 +234,31 @@
     run(body())
 
 
+@pytest.mark.parametrize(
+    ("level", "status", "words"),
+    [
+        ("verbose", 2, "INGRESS_LOG_LEVEL: 'verbose' is not info or debug"),
+        ("debug", 2, "EDGE_CONFIG: not set"),
+        ("", 2, "EDGE_CONFIG: not set"),
+    ],
+)
+def test_an_unknown_log_level_ends_the_program_with_its_name(
+    level: str, status: int, words: str
+) -> None:
+    env = {name: text for name, text in os.environ.items() if name != "EDGE_CONFIG"}
+    done = subprocess.run(
+        [sys.executable, "-m", "ingress"],
+        cwd=ROOT,
+        env=env | {"INGRESS_LOG_LEVEL": level},
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert done.returncode == status
+    assert words in done.stderr
+
+
 def test_full_collections_skip_what_was_imported() -> None:
     """A full collection of it takes tens of milliseconds, in which nothing is answered."""
     script = (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,8 +14,9 @@
 
 from ingress.testbed import __main__ as command
 from ingress.testbed.deployment import Deployment
+from ingress.testbed.fault_kinds import CROWD_KINDS, KINDS, SIGNAL_KINDS
 from ingress.testbed.report import report
-from ingress.testbed.scenario import CROWD_KINDS, KINDS, SIGNAL_KINDS, Fault, Scenario, check_target
+from ingress.testbed.scenario import Fault, Scenario, check_target
 from ingress.testbed.soak import draw_run
 from ingress.testbed.world import standing
 
