Testbed: a handover's port is none that the instance's listeners were given before

Cause: the handover's port was searched for after the listeners' were let go, on the same address, and could be the same. A later search now passes over what was found before.

--- a/ingress/testbed/handover_fleet.py
+++ b/ingress/testbed/handover_fleet.py
@@ -21,7 +21,7 @@
         self.ingresses: list[Ingress] = world.ingresses
         world.record.hands_over = True
         self.folder, self.stores, self.settings = folder, stores, settings
-        self.real = [(i.host, free_ports(i.host, 1)[0]) for i in self.ingresses]
+        self.real = [(i.host, free_ports(i.host, 1, i.ports)[0]) for i in self.ingresses]
         self.links = {
             (a, b): Link(world.clock, {})
             for a in range(len(self.real))
--- a/ingress/testbed/ingresses.py
+++ b/ingress/testbed/ingresses.py
@@ -11,7 +11,7 @@
 import socket
 import sys
 import tomllib
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -49,12 +49,19 @@
     return command
 
 
-def free_ports(host: str, count: int) -> list[int]:
-    """Ports of an address that nobody listens at.  All are held until the last is found: one that was let go
-    could be found again."""
+def free_ports(host: str, count: int, taken: Collection[int] = ()) -> list[int]:
+    """Returns ports of an address that nobody listens at, and that are not `taken`.
+
+    All are held until the last is found: one that was let go could be found again.
+    """
+    found: list[int] = []
     with ExitStack() as stack:
-        servers = [stack.enter_context(socket.create_server((host, 0))) for _ in range(count)]
-        return [server.getsockname()[1] for server in servers]
+        while len(found) < count:
+            server = stack.enter_context(socket.create_server((host, 0)))
+            port = server.getsockname()[1]
+            if port not in taken:
+                found.append(port)
+    return found
 
 
 class Ingress:
@@ -78,7 +85,8 @@
         # Its own address, so that no client's outgoing port can be the one that it comes back to.
         self.host = host(number + 1)
         names = tuple(dialects)
-        port, *further = free_ports(self.host, 1 + len(names))
+        self.ports = free_ports(self.host, 1 + len(names))
+        port, *further = self.ports
         self.address = self.host, port
         self.folder = folder / self.name
         self.folder.mkdir()
--- a/tests/test_lab_scenarios.py
+++ b/tests/test_lab_scenarios.py
@@ -173,6 +173,12 @@
     assert len(set(free_ports(host(1), 400))) == 400
 
 
+def test_ports_that_are_found_later_are_none_that_were_found_before() -> None:
+    """Guards against an ingress whose handover gets the port of its own listener."""
+    before = free_ports(host(1), 400)
+    assert not set(free_ports(host(1), 400, before)) & set(before)
+
+
 def test_hold_prints_every_address_and_an_interrupt_leaves_nothing_behind() -> None:
     with subprocess.Popen(
         [sys.executable, "-m", "ingress.testbed", "--hold", "--ingresses", "2"],
