--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""An independent review: cases, their stand-ins and the report."""
