Answer all pipelined requests before a shutdown closes their connection

A request that arrived as the open ones were failed was dropped as well.

Cause: drain() failed the open requests and closed the listeners in one iteration of the event loop. The responses scheduled the parsing of the freed pipeline for the next iteration, but half_close had dropped the unparsed bytes by then, and discarded what it read afterwards. Evidence: a line logged at the close in a trial copy showed no pending response, 5256 unparsed bytes with 36 requests, reading paused, nothing unread.

Fix: drain() tells the exchange to reject all later requests, fails the open ones, and waits up to 0.1 s while the connections are parsed and read to their end; each closes when it is idle. Then it closes the listeners. An idle connection is now closed, not half-closed, so that a request which crosses the close is not read and the client may send it again.

The simulated shutdown in test_service expects the further call, in its place, at the same time as the failing of requests.

--- a/ingress/core/exchange.py
+++ b/ingress/core/exchange.py
@@ -73,6 +73,7 @@
         attempt_count: The number of attempts started since the start.
         pending_events: Events that occurred while the policy was handling another one.
         handling: Whether the policy is handling an event.
+        rejecting_all: Whether new requests are rejected, since the process is about to end.
         unsupported_actions: Names of unsupported actions that have been logged.
         deduplication_windows: Seconds for which backends remember idempotency keys, by request
             class; only classes with keys.
@@ -105,6 +106,7 @@
         self.attempt_count = 0
         self.pending_events: deque[Event] = deque()
         self.handling = False
+        self.rejecting_all = False
         self.unsupported_actions: set[str] = set()
         self.deduplication_windows = {
             cls.name: cls.deduplication_window
@@ -129,7 +131,8 @@
         if call.client_request_id in self.client_request_ids:
             raise DuplicateRequestError("the id belongs to an open request")
         if (
-            len(self.open_requests) >= self.max_open_requests
+            self.rejecting_all
+            or len(self.open_requests) >= self.max_open_requests
             or self.buffered_bytes > self.max_buffered_bytes
         ):
             downstream.respond(REJECTED_RESPONSE)
@@ -172,6 +175,10 @@
             self._close(request)
             self.feed(ClientDisconnected(request.key))
 
+    def reject_new_requests(self) -> None:
+        """Rejects all later requests, since the process ends before they can be forwarded."""
+        self.rejecting_all = True
+
     def fail_open_requests(self) -> None:
         """Fails all open requests, since the process is about to end."""
         for request in list(self.open_requests.values()):
--- a/ingress/platform/graceful_shutdown.py
+++ b/ingress/platform/graceful_shutdown.py
@@ -13,9 +13,10 @@
 KILL_MARGIN_S = 0.7  # from the longest deadline to SIGKILL
 MAX_DEADLINE_S = 3.0  # a longer deadline does not delay SIGKILL further
 FINAL_RESPONSE_LEAD_S = 0.25  # open requests are failed so long before the earliest SIGKILL
-FLUSH_TIMEOUT_S = 0.1  # to write the last responses
+FINAL_READ_TIMEOUT_S = 0.1  # to read and reject the requests that clients have sent
+FLUSH_TIMEOUT_S = 0.03  # to write the last responses
 DRAIN_POLL_INTERVAL_S = 0.02
-FLUSH_POLL_INTERVAL_S = 0.01
+FINAL_POLL_INTERVAL_S = 0.01
 
 Sleep = Callable[[float], Awaitable[object]]
 
@@ -23,6 +24,9 @@
 class OpenRequests(Protocol):
     """The part of the exchange that a shutdown uses."""
 
+    def reject_new_requests(self) -> None:
+        """Rejects all later requests."""
+
     def fail_open_requests(self) -> None:
         """Answers all open requests with a failure."""
 
@@ -36,6 +40,9 @@
 ) -> None:
     """Drains `listeners`, then fails the requests that are still open and closes the listeners.
 
+    A connection whose responses waited for an open request may hold more requests, which its client
+    has pipelined and which were not parsed or not read yet.  They are rejected before it is closed.
+
     Args:
         exchange: Owner of the open requests.
         listeners: All listeners of the instance.
@@ -49,11 +56,14 @@
     for listener in listeners:
         listener.drain()
     await _wait_until_empty(listeners, fail_at, DRAIN_POLL_INTERVAL_S, clock, sleep)
+    exchange.reject_new_requests()
     exchange.fail_open_requests()
+    read_by = clock() + FINAL_READ_TIMEOUT_S
+    await _wait_until_empty(listeners, read_by, FINAL_POLL_INTERVAL_S, clock, sleep)
     for listener in listeners:
         listener.close()
     flushed_by = clock() + FLUSH_TIMEOUT_S
-    await _wait_until_empty(listeners, flushed_by, FLUSH_POLL_INTERVAL_S, clock, sleep)
+    await _wait_until_empty(listeners, flushed_by, FINAL_POLL_INTERVAL_S, clock, sleep)
 
 
 async def _wait_until_empty(
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -242,9 +242,10 @@
             self.listening_socket.close()
 
     def close(self) -> None:
-        """Stops listening and ends the sending side of each connection."""
+        """Stops listening, closes idle connections and ends the sending side of all others."""
         self.sweep_timer.cancel()
         self.hangup_watcher.close()
         self._close_listening_socket()
         for connection in list(self.connections):
+            connection.close_if_idle()
             connection.half_close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -20,6 +20,7 @@
 from ingress.platform import graceful_shutdown
 from ingress.platform.config import Config
 from ingress.policy.settings import RequestClass
+from ingress.transport.client_connection import MAX_PIPELINED_REQUESTS
 from tests.peers import (
     SETTINGS,
     Address,
@@ -34,6 +35,7 @@
     read_command,
     resp,
     run,
+    until,
     value,
 )
 
@@ -162,6 +164,28 @@
     run(body())
 
 
+def test_a_shutdown_answers_all_pipelined_requests_while_a_backend_hangs(tmp_path: Path) -> None:
+    """Guards against dropping the requests beyond the limit of a connection's open ones."""
+    count = 2 * MAX_PIPELINED_REQUESTS
+
+    async def body() -> None:
+        classes = [c | {"give-up-s": 60.0, "aim-s": 60.0} for c in SETTINGS["categories"]]
+        settings = SETTINGS | {"categories": classes}
+        async with backend(b"") as peer, program(peer, tmp_path, settings) as (process, address):
+            caller = await Caller.connect(address)
+            caller.writer.write(b"".join(command(str(n), d=60_000) for n in range(count)))
+            await until(lambda: peer.commands)
+            process.send_signal(signal.SIGTERM)
+            responses = [str(await caller.read_response()) for _ in range(count)]
+            assert responses[0] == "ERR failed"  # open until the end, so the others had to wait
+            assert all(text == "ERR failed" or text.startswith("BUSY") for text in responses)
+            with pytest.raises((EOFError, ConnectionError)):
+                await caller.read_response()
+            assert await process.wait() == 0
+
+    run(body())
+
+
 class NeverEmpty:
     """An exchange and a listener whose last client stays; only sleeping advances the clock."""
 
@@ -184,6 +208,9 @@
     def empty(self) -> bool:
         return False
 
+    def reject_new_requests(self) -> None:
+        self.record("reject new requests")
+
     def fail_open_requests(self) -> None:
         self.record("fail open requests")
 
@@ -202,11 +229,17 @@
         )
     )
     kill_at = min(deadline, graceful_shutdown.MAX_DEADLINE_S) + graceful_shutdown.KILL_MARGIN_S
-    assert [call for call, _ in shutdown.calls] == ["drain", "fail open requests", "close"]
+    assert [call for call, _ in shutdown.calls] == [
+        "drain",
+        "reject new requests",
+        "fail open requests",
+        "close",
+    ]
     assert shutdown.calls[0][1] >= graceful_shutdown.ACCEPT_AFTER_SIGTERM_S
+    assert shutdown.calls[1][1] == shutdown.calls[2][1]
     assert (
         kill_at - graceful_shutdown.FINAL_RESPONSE_LEAD_S
-        <= shutdown.calls[1][1]
+        <= shutdown.calls[2][1]
         <= kill_at - graceful_shutdown.FINAL_RESPONSE_LEAD_S + 0.05
     )
     assert shutdown.now < kill_at
--- /dev/null
+++ b/tests/test_unparsed_requests.py
@@ -0,0 +1,185 @@
+"""Requests that were received but not parsed yet when their connection ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import pytest
+
+from ingress.application import Application
+from ingress.core.exchange import Exchange
+from ingress.platform import graceful_shutdown
+from ingress.policy.events import RequestReceived
+from ingress.policy.settings import RequestClass
+from ingress.transport import client_connection
+from ingress.transport.client_connection import ClientConnection
+from tests.peers import Address, Caller, command, config, resp, run, until
+from tests.support.applications import ScriptedPolicy
+from tests.support.races import ingress_with_open_requests, is_closed, send_now
+from tests.test_http_clients import READ, HttpClient
+from tests.test_resp3 import OPERATOR
+
+READ_BEHIND_THE_LIMIT = 6  # requests that are read together with those up to the limit
+UNREAD = 30  # requests that stay in the socket buffer
+# Makes the shutdown fail the open requests 0.55 s after its start.
+SHORT_CLASS = RequestClass("read", latency_objective=0.1, deadline=0.1)
+
+
+class FinalStep:
+    """The exchange as a shutdown uses it, with a callback before it fails the open requests."""
+
+    def __init__(self, exchange: Exchange, callback: Callable[[], None]) -> None:
+        self.exchange = exchange
+        self.callback = callback
+
+    def reject_new_requests(self) -> None:
+        self.exchange.reject_new_requests()
+
+    def fail_open_requests(self) -> None:
+        self.callback()
+        self.exchange.fail_open_requests()
+
+
+async def shut_down(
+    ingress: Application, before_failing: Callable[[], None] = lambda: None
+) -> None:
+    """Runs the shutdown of an ingress as the program does."""
+    exchange = FinalStep(ingress.exchange, before_failing)
+    await graceful_shutdown.drain(exchange, ingress.listeners, [SHORT_CLASS], ingress.loop.time)
+
+
+@dataclass(frozen=True, slots=True)
+class FrontEnd:
+    """A kind of client.
+
+    Attributes:
+        listener: The index of its listener.
+        request: Encodes the read request with an id.
+        connect: Connects; returns a function that reads the outcome of the next response: "failed"
+            or "rejected", or None at the end of the connection.
+    """
+
+    listener: int
+    request: Callable[[str], bytes]
+    connect: Any
+
+
+def resp_outcome(response: Any) -> str:
+    text = str(response)
+    assert text == "ERR failed" or text.startswith("BUSY"), text
+    return "failed" if text == "ERR failed" else "rejected"
+
+
+async def connect_resp(address: Address, greeting: bytes = b"") -> tuple[asyncio.StreamWriter, Any]:
+    caller = await Caller.connect(address)
+    if greeting:
+        await caller.request(greeting)
+
+    async def read() -> str | None:
+        try:
+            return resp_outcome(await caller.read_response())
+        except EOFError:
+            return None
+
+    return caller.writer, read
+
+
+async def connect_resp3(address: Address) -> tuple[asyncio.StreamWriter, Any]:
+    return await connect_resp(address, resp(b"HELLO", b"3"))
+
+
+async def connect_http(address: Address) -> tuple[asyncio.StreamWriter, Any]:
+    client = await HttpClient.connect(address)
+
+    async def read() -> str | None:
+        try:
+            status, _, _ = await client.read_response()
+        except (EOFError, ConnectionError, h11.RemoteProtocolError):
+            return None
+        return {500: "failed", 429: "rejected"}[status]
+
+    return client.writer, read
+
+
+def http_request(request_id: str) -> bytes:
+    return READ.replace("X-Request-Id: r1", f"X-Request-Id: {request_id}").encode()
+
+
+FRONT_ENDS = {
+    "resp2-v1": FrontEnd(0, command, connect_resp),
+    "resp3-v2": FrontEnd(1, command, connect_resp3),
+    "http-v2": FrontEnd(2, http_request, connect_http),
+}
+
+
+@asynccontextmanager
+async def ingress_with_all_front_ends() -> AsyncIterator[tuple[Application, ScriptedPolicy]]:
+    """Runs an ingress with a listener for each kind of client; its policy leaves requests open."""
+    ingress = Application(config(), operator=OPERATOR)
+    stub = ScriptedPolicy(None)
+    ingress.exchange.policy = stub
+    task = asyncio.create_task(ingress.run(asyncio.Event()))
+    await ingress.serving.wait()
+    try:
+        yield ingress, stub
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for listener in ingress.listeners:
+            listener.close()
+        ingress.backends.close()
+
+
+def the_connection(ingress: Application, listener: int = 0) -> ClientConnection:
+    [connection] = ingress.listeners[listener].connections
+    return connection
+
+
+@pytest.mark.parametrize("front_end", FRONT_ENDS.values(), ids=FRONT_ENDS)
+def test_a_shutdown_answers_the_requests_beyond_the_pipeline_limit(front_end: FrontEnd) -> None:
+    """Guards against dropping them when the open requests are failed; backends hang till then."""
+    limit = client_connection.MAX_PIPELINED_REQUESTS
+
+    async def body() -> None:
+        async with ingress_with_all_front_ends() as (ingress, stub):
+            address = ingress.listeners[front_end.listener].listening_socket.getsockname()
+            writer, read = await front_end.connect(address)
+            requests = [
+                front_end.request(str(n)) for n in range(limit + READ_BEHIND_THE_LIMIT + UNREAD)
+            ]
+            writer.write(b"".join(requests[:-UNREAD]))
+            await until(lambda: len(stub.events_of(RequestReceived)) == limit)
+            connection = the_connection(ingress, front_end.listener)
+            assert connection.reading_paused
+            assert connection.unparsed == b"".join(requests[limit:-UNREAD])
+            writer.write(b"".join(requests[-UNREAD:]))
+            await until(connection.has_unread_input)
+            await shut_down(ingress)
+            outcomes = [await read() for _ in requests]
+            assert outcomes == ["failed"] * limit + ["rejected"] * (len(requests) - limit)
+            assert await read() is None
+            assert len(stub.events_of(RequestReceived)) == limit
+
+    run(body())
+
+
+def test_a_shutdown_answers_a_request_that_arrives_as_it_fails_the_open_ones() -> None:
+    """Guards against reading a request, and closing its connection without an answer."""
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, _):
+            caller = await Caller.connect(address)
+            caller.writer.write(command("one"))
+            await until(lambda: stub.events_of(RequestReceived))
+            await shut_down(ingress, lambda: send_now(caller, command("two")))
+            assert str(await caller.read_response()) == "ERR failed"
+            assert str(await caller.read_response()) == "BUSY"
+            assert await is_closed(caller)
+            assert len(stub.events_of(RequestReceived)) == 1
+
+    run(body())
