Reject requests that were read before their connection drops its unparsed bytes

Callers could lose pipelined requests that the ingress had read: no response when a listener ended while the client did not read its responses, and one error for all of them at the limit on unparsed bytes.

Cause: unparsed bytes were treated as the start of one incomplete request. They hold complete requests too, if the pipeline is full or the client does not read. half_close and the limit on buffered bytes dropped all of them.

Fix: both parse the bytes once more in a mode that rejects each complete request without waiting for earlier responses. A connection fails at the limit only if a partial request still exceeds it. The loop over the frames has its own function now.

Both new tests in test_unparsed_requests.py failed before and pass now.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final, cast
 
-from ingress.core.calls import DuplicateRequestError, InvalidCallError
+from ingress.core.calls import REJECTED_RESPONSE, DuplicateRequestError, InvalidCallError
 from ingress.transport.client_protocol import MalformedFrameError
 from ingress.transport.pending_response import PendingResponse
 
@@ -110,14 +110,16 @@
         listener.buffered_bytes += len(data)
         self.unparsed = self.unparsed + data if self.unparsed else data
         self._parse()
-        if (
-            self.unparsed
-            and listener.buffered_bytes > listener.max_buffered_bytes
-            and not self.closing
-        ):
-            # Partial requests on many connections could exhaust the memory.
+        if self._exceeds_buffer_limit():
+            self._parse(rejecting=True)
+        if self._exceeds_buffer_limit():
             self._fail("too much is on the way")
 
+    def _exceeds_buffer_limit(self) -> bool:
+        """Returns whether unparsed bytes on all connections, some on this one, are too many."""
+        listener = self.listener
+        return bool(self.unparsed) and listener.buffered_bytes > listener.max_buffered_bytes
+
     def pause_writing(self) -> None:
         """Pauses reading requests, since the client does not read its responses."""
         self.write_blocked_at = self.listener.clock()
@@ -139,46 +141,62 @@
 
     # Requests
 
-    def _parse(self) -> None:
-        """Handles the complete requests in the unparsed bytes, then writes completed responses."""
+    def _parse(self, rejecting: bool = False) -> None:
+        """Handles the complete requests in the unparsed bytes, then writes completed responses.
+
+        Args:
+            rejecting: Whether to reject all of these requests, including those that would have to
+                wait until earlier responses are written.
+        """
         data = self.unparsed
         self.unparsed = b""
         self.listener.buffered_bytes -= len(data)
-        at = 0
-        partial = False
         self.parsing = True
-        while self.transport is not None and not self.closing and self.write_blocked_at is None:
-            self.pipeline_full = len(self.pending) >= MAX_PIPELINED_REQUESTS
-            if self.pipeline_full or at == len(data):
+        end, partial = self._handle_frames(data, rejecting)
+        if not self.closing and self.transport is not None:
+            self.unparsed = data[end:]
+            self.listener.buffered_bytes += len(self.unparsed)
+        if not partial:
+            self.partial_since = None
+        elif self.partial_since is None:
+            self.partial_since = self.received_at
+        self.parsing = False
+        self.flush()
+        self._update_flow_control()
+
+    def _handle_frames(self, data: bytes, rejecting: bool) -> tuple[int, bool]:
+        """Handles the complete requests in `data` until the connection has to wait.
+
+        Returns:
+            The end of the last handled request, and whether a partial request follows it.
+        """
+        at = 0
+        while self.transport is not None and not self.closing:
+            if self._must_wait(rejecting) or at == len(data):
                 break
             try:
                 end = self.protocol.find_frame_end(data, at)
                 if end < 0:
-                    partial = True
                     self._send_interim_response()
-                    break
+                    return at, True
                 frame = data[at:end]
                 at = end
                 self.partial_since = None
-                self._handle_frame(frame)
+                self._handle_frame(frame, rejecting)
             except MalformedFrameError as error:
                 self._fail(str(error))
-                break
             except Exception:
                 # A codec fault while finding frames ends only this connection.
                 self.listener.log_codec_fault("a frame")
                 self._fail("not understood")
-                break
-        if not self.closing and self.transport is not None:
-            self.unparsed = data[at:]
-            self.listener.buffered_bytes += len(self.unparsed)
-        if not partial:
-            self.partial_since = None
-        elif self.partial_since is None:
-            self.partial_since = self.received_at
-        self.parsing = False
-        self.flush()
-        self._update_flow_control()
+        return at, False
+
+    def _must_wait(self, rejecting: bool) -> bool:
+        """Returns whether earlier responses must be written before more requests are handled."""
+        if rejecting:
+            return False
+        self.pipeline_full = len(self.pending) >= MAX_PIPELINED_REQUESTS
+        return self.pipeline_full or self.write_blocked_at is not None
 
     def _send_interim_response(self) -> None:
         """Writes the interim response that the client awaits, unless a response is pending."""
@@ -187,7 +205,7 @@
             if data:
                 self.transport.write(data)
 
-    def _handle_frame(self, frame: bytes) -> None:
+    def _handle_frame(self, frame: bytes, rejecting: bool) -> None:
         protocol = self.protocol
         try:
             call = protocol.decode_request(frame)
@@ -208,8 +226,11 @@
         if isinstance(call, bytes):
             pending.complete(call)
             return
-        pending.call = call
         self.consecutive_malformed = 0
+        if rejecting:
+            pending.respond(REJECTED_RESPONSE)
+            return
+        pending.call = call
         try:
             self.listener.handler.request(pending, call, self.received_at)
         except DuplicateRequestError as duplicate:
@@ -328,11 +349,12 @@
             self.transport.close()
 
     def half_close(self) -> None:
-        """Ends the sending side, and discards further input.
+        """Rejects the requests that were read, ends the sending side and discards further input.
 
         Closing the socket with unread input would send a reset, and the client would lose its last
         responses.
         """
+        self._parse(rejecting=True)
         self.closing = True
         self._drop_unparsed()
         if self.transport is not None and not self.transport.is_closing():
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -183,3 +183,69 @@
             assert len(stub.events_of(RequestReceived)) == 1
 
     run(body())
+
+
+def test_a_shutdown_answers_connections_that_waited_for_a_place() -> None:
+    """Guards against closing the listening socket while accepted clients wait in its backlog."""
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, _):
+            ingress.clients.max_connections = 1
+            first = await Caller.connect(address)
+            first.writer.write(command("first"))
+            await until(lambda: stub.events_of(RequestReceived))
+            second = await Caller.connect(address)
+            second.writer.write(command("second"))
+            await until(lambda: ingress.clients.accepting_paused)
+            await shut_down(ingress)
+            assert str(await first.read_response()) == "ERR failed"
+            assert str(await second.read_response()) == "BUSY"
+            assert await is_closed(second)
+
+    run(body())
+
+
+def test_rejects_pipelined_requests_that_exceed_the_memory_for_unparsed_bytes() -> None:
+    """Guards against dropping complete requests as if they were the start of one too large."""
+    limit = client_connection.MAX_PIPELINED_REQUESTS
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, fail_all):
+            ingress.clients.max_buffered_bytes = 1000
+            caller = await Caller.connect(address)
+            caller.writer.write(b"".join(command(str(n)) for n in range(limit + UNREAD)))
+            await until(lambda: len(stub.events_of(RequestReceived)) == limit)
+            assert the_connection(ingress).reading_paused
+            assert ingress.clients.buffered_bytes <= 1000
+            fail_all()
+            outcomes = [resp_outcome(await caller.read_response()) for _ in range(limit + UNREAD)]
+            assert outcomes == ["failed"] * limit + ["rejected"] * UNREAD
+            assert await caller.request(resp(b"PING")) == b"PONG"
+
+    run(body())
+
+
+def test_the_end_of_a_listener_answers_the_requests_of_a_client_that_does_not_read() -> None:
+    """Guards against dropping requests that wait until the client reads its responses."""
+    limit = client_connection.MAX_PIPELINED_REQUESTS
+    size = 500_000  # of a response; all together exceed the buffers of both sockets
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, _):
+            caller = await Caller.connect(address)
+            requests = [command(str(n)) for n in range(limit + READ_BEHIND_THE_LIMIT)]
+            caller.writer.write(b"".join(requests))
+            await until(lambda: len(stub.events_of(RequestReceived)) == limit)
+            connection = the_connection(ingress)
+            for pending in list(connection.pending):
+                pending.complete(b"$%d\r\n%b\r\n" % (size, bytes(size)))
+            await until(lambda: connection.write_blocked_at is not None)
+            assert connection.unparsed == b"".join(requests[limit:])
+            ingress.clients.close()
+            assert [len(await caller.read_response()) for _ in range(limit)] == [size] * limit
+            for _ in range(READ_BEHIND_THE_LIMIT):
+                assert str(await caller.read_response()) == "BUSY"
+            assert await is_closed(caller)
+            assert len(stub.events_of(RequestReceived)) == limit
+
+    run(body())
