Do not evict a connection that still owes responses

Callers could lose requests and responses when all places for connections were taken: the connection was aborted to make room for a new one.

Cause: a connection counted as idle as soon as no request was open. At that moment its written responses may still be buffered, because the client does not read, and the requests behind a full pipeline may be read but not parsed: the event loop can accept a new connection before it parses them. Eviction skipped connections with input only if there was another one.

Fix: a connection that owes a response is never evicted. One whose client does not read its responses is closed after 2 s, as before.

Both new tests bring the order about each time. They failed before (the connection ended before a complete response) and pass now.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -335,6 +335,15 @@
         poll.register(self.sock, select.POLLIN)
         return bool(poll.poll(0))
 
+    def owes_response(self) -> bool:
+        """Returns whether a response is not written yet, or complete requests may be unparsed.
+
+        This can be the case although no request is open: the client does not read its responses, or
+        the parsing of the requests behind a full pipeline is scheduled.
+        """
+        complete_unparsed = bool(self.unparsed) and self.partial_since is None
+        return bool(self.pending) or complete_unparsed or self.write_blocked_at is not None
+
     def close_if_idle(self) -> None:
         """Closes the connection after all writes, unless a request is open or has arrived.
 
--- a/ingress/transport/idle_connections.py
+++ b/ingress/transport/idle_connections.py
@@ -64,11 +64,11 @@
     """Returns the first connection without input that has been idle for `min_idle_time_s`.
 
     A connection that has received part of a request, or has unread input, is returned only if every
-    candidate has.
+    candidate has.  One that owes a response is never returned.
     """
     first: ClientConnection | None = None
     for connection in islice(queue, MAX_CANDIDATES):
-        if now - connection.last_used_at < min_idle_time_s:
+        if now - connection.last_used_at < min_idle_time_s or connection.owes_response():
             continue
         has_input = connection.unparsed or connection.has_unread_input()
         if connection.transport is None or not has_input:
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -14,7 +15,8 @@
 from ingress.application import Application
 from ingress.core.exchange import Exchange
 from ingress.platform import graceful_shutdown
-from ingress.policy.events import RequestReceived
+from ingress.policy.actions import Action
+from ingress.policy.events import Event, RequestReceived
 from ingress.policy.settings import RequestClass
 from ingress.transport import client_connection
 from ingress.transport.client_connection import ClientConnection
@@ -249,3 +251,63 @@
             assert len(stub.events_of(RequestReceived)) == limit
 
     run(body())
+
+
+def test_does_not_evict_a_connection_whose_pipelined_requests_are_about_to_be_parsed() -> None:
+    """Guards against counting it as idle when the responses to the earlier requests are written."""
+    limit = client_connection.MAX_PIPELINED_REQUESTS
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, fail_all):
+            ingress.clients.max_connections = 2  # one place is kept free
+            caller = await Caller.connect(address)
+            count = limit + READ_BEHIND_THE_LIMIT
+            caller.writer.write(b"".join(command(str(n)) for n in range(count)))
+            await until(lambda: len(stub.events_of(RequestReceived)) == limit)
+            # The event loop accepts a new connection before it parses the remaining requests.
+            waiting = socket.create_connection(address)
+            fail_all()
+            connections_at_parsing: list[int] = []
+
+            def record_connections(_: Event) -> list[Action]:
+                connections_at_parsing.append(len(ingress.clients.connections))
+                return []
+
+            stub.plan = record_connections
+            await until(lambda: len(stub.events_of(RequestReceived)) == count)
+            assert connections_at_parsing[0] == 2
+            fail_all()
+            assert [str(await caller.read_response()) for _ in range(count)] == [
+                "ERR failed"
+            ] * count
+            waiting.close()
+
+    run(body())
+
+
+def test_does_not_evict_a_connection_whose_responses_are_not_written_yet() -> None:
+    """Guards against cutting a response, and against dropping the requests behind it."""
+    limit = client_connection.MAX_PIPELINED_REQUESTS
+    size = 500_000  # of a response; all together exceed the buffers of both sockets
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, fail_all):
+            ingress.clients.max_connections = 2  # one place is kept free
+            caller = await Caller.connect(address)
+            count = limit + READ_BEHIND_THE_LIMIT
+            caller.writer.write(b"".join(command(str(n)) for n in range(count)))
+            await until(lambda: len(stub.events_of(RequestReceived)) == limit)
+            connection = the_connection(ingress)
+            for pending in list(connection.pending):
+                pending.complete(b"$%d\r\n%b\r\n" % (size, bytes(size)))
+            await until(lambda: connection.write_blocked_at is not None)
+            waiting = socket.create_connection(address)
+            await until(lambda: ingress.clients.connections != {connection})
+            assert [len(await caller.read_response()) for _ in range(limit)] == [size] * limit
+            await until(lambda: len(stub.events_of(RequestReceived)) == count)
+            fail_all()
+            for _ in range(READ_BEHIND_THE_LIMIT):
+                assert str(await caller.read_response()) == "ERR failed"
+            waiting.close()
+
+    run(body())
