Log how many client connections were busy at the end of a shutdown

Change: a listener that closes logs a warning with the number of connections that were not idle. The test of a client that does not read its responses checks the line.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -357,6 +357,10 @@
         ):
             self.transport.close()
 
+    def is_open(self) -> bool:
+        """Returns whether the connection is neither closed nor being closed."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def half_close(self) -> None:
         """Rejects the requests that were read, ends the sending side and discards further input.
 
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -246,6 +246,11 @@
         self.sweep_timer.cancel()
         self.hangup_watcher.close()
         self._close_listening_socket()
-        for connection in list(self.connections):
+        connections = list(self.connections)
+        for connection in connections:
             connection.close_if_idle()
+        busy = sum(connection.is_open() for connection in connections)
+        if busy:
+            log.warning("ended the sending side of %d client connections that were not idle", busy)
+        for connection in connections:
             connection.half_close()
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -227,7 +227,9 @@
     run(body())
 
 
-def test_the_end_of_a_listener_answers_the_requests_of_a_client_that_does_not_read() -> None:
+def test_the_end_of_a_listener_answers_the_requests_of_a_client_that_does_not_read(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """Guards against dropping requests that wait until the client reads its responses."""
     limit = client_connection.MAX_PIPELINED_REQUESTS
     size = 500_000  # of a response; all together exceed the buffers of both sockets
@@ -244,6 +246,7 @@
             await until(lambda: connection.write_blocked_at is not None)
             assert connection.unparsed == b"".join(requests[limit:])
             ingress.clients.close()
+            assert "1 client connections that were not idle" in caplog.text
             assert [len(await caller.read_response()) for _ in range(limit)] == [size] * limit
             for _ in range(READ_BEHIND_THE_LIMIT):
                 assert str(await caller.read_response()) == "BUSY"
