Give the client of a closing connection 2 s to read its last response

Callers that asked to close the connection, or got a fatal error, lost the rest of their responses if they paused reading for more than 1 s. No case was reported; it was found by reading each way in which a connection ends.

Cause: enforce_timeouts tested first whether the connection was closing and aborted it 1 s after the last response was passed to the transport, which discards what the system has not taken yet.

Fix: the 2 s of a client that does not read apply first, to all connections. The 1 s for the last bytes starts when the client reads again.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -38,8 +38,8 @@
     class can't inherit from an interpreted one.
 
     Attributes:
-        last_used_at: When the connection was made, or when its last open request was answered; in
-            seconds of the clock.
+        last_used_at: When the connection was made, when its last open request was answered, or when
+            the client of a closing connection resumed reading; in seconds of the clock.
         unparsed: Received bytes that are an incomplete request or are not parsed yet.
         partial_since: Arrival time of the first byte of a partial request, or None.
         write_blocked_at: Time since which the client has not read its responses, or None.
@@ -128,6 +128,8 @@
     def resume_writing(self) -> None:
         """Resumes parsing, since the client reads its responses again."""
         self.write_blocked_at = None
+        if self.closing:
+            self.last_used_at = self.listener.clock()  # its client has yet to read the last bytes
         self.listener.loop.call_soon(self._parse)
 
     def eof_received(self) -> None:
@@ -384,12 +386,12 @@
         """
         if self.transport is None:
             return
-        if self.closing and not self.pending:
-            if now - self.last_used_at > LINGER_TIME_S:
-                self.transport.abort()
-        elif self.write_blocked_at is not None:
+        if self.write_blocked_at is not None:
             if now - self.write_blocked_at > PROGRESS_TIMEOUT_S:
                 self.transport.abort()
+        elif self.closing and not self.pending:
+            if now - self.last_used_at > LINGER_TIME_S:
+                self.transport.abort()
         elif self.partial_since is not None:
             if now - self.partial_since > PROGRESS_TIMEOUT_S:
                 self._fail("the rest of the command did not come")
--- a/tests/support/applications.py
+++ b/tests/support/applications.py
@@ -14,22 +14,29 @@
 from ingress.policy.events import Event, RequestReceived
 
 
+@asynccontextmanager
+async def running(application: Application) -> AsyncIterator[list[Any]]:
+    """Runs an application; yields the listening addresses of its listeners."""
+    task = asyncio.create_task(application.run(asyncio.Event()))
+    await application.serving.wait()
+    try:
+        yield [listener.listening_socket.getsockname() for listener in application.listeners]
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for listener in application.listeners:
+            listener.close()
+        application.backends.close()
+
+
 @asynccontextmanager
 async def serving(
     settings: Config, clock: Clock | None = None
 ) -> AsyncIterator[tuple[Application, Any]]:
     """Runs an ingress; yields it and its listening address."""
     ingress = Application(settings, clock)
-    stop = asyncio.Event()
-    task = asyncio.create_task(ingress.run(stop))
-    await ingress.serving.wait()
-    try:
-        yield ingress, ingress.clients.listening_socket.getsockname()
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        ingress.clients.close()
-        ingress.backends.close()
+    async with running(ingress) as [address]:
+        yield ingress, address
 
 
 class ScriptedPolicy:
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -40,7 +40,7 @@
     until,
     value,
 )
-from tests.support.applications import ScriptedPolicy, start_attempt
+from tests.support.applications import ScriptedPolicy, running, start_attempt
 from tests.test_http_backend_protocol import h11_server
 from tests.test_mixed_fleets import http_entry
 
@@ -81,19 +81,8 @@
     application = Application(config(*servers), operator=OPERATOR)
     if scripted_policy is not None:
         application.exchange.policy = scripted_policy
-    task = asyncio.create_task(application.run(asyncio.Event()))
-    await application.serving.wait()
-    try:
-        resp_address, http_address = (
-            listener.listening_socket.getsockname() for listener in application.listeners
-        )
+    async with running(application) as (resp_address, http_address):
         yield application, resp_address, http_address
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        for listener in application.listeners:
-            listener.close()
-        application.backends.close()
 
 
 class HttpClient:
--- a/tests/test_mixed_fleets.py
+++ b/tests/test_mixed_fleets.py
@@ -28,7 +28,7 @@
 from ingress.policy.actions import Action, FailRequest, RejectRequest, StartAttempt
 from ingress.policy.events import AttemptEnded, EndpointListKind, Event, RequestReceived
 from tests.peers import SETTINGS, Caller, Peer, backend, command, config, entry, run, value
-from tests.support.applications import ScriptedPolicy
+from tests.support.applications import ScriptedPolicy, running
 from tests.test_http_backend_protocol import h11_server, problem, response
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -49,15 +49,8 @@
     instance = Application(config(*servers), operator=MIXED)
     if scripted_policy is not None:
         instance.exchange.policy = scripted_policy
-    task = asyncio.create_task(instance.run(asyncio.Event()))
-    await instance.serving.wait()  # the listening socket is open now
-    try:
-        yield instance, await Caller.connect(instance.clients.listening_socket.getsockname())
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        instance.clients.close()
-        instance.backends.close()
+    async with running(instance) as [address]:
+        yield instance, await Caller.connect(address)
 
 
 def http_entry(address: tuple[str, int], name: str = "n1") -> dict[str, Any]:
--- a/tests/test_resp3.py
+++ b/tests/test_resp3.py
@@ -39,7 +39,7 @@
     run,
     value,
 )
-from tests.support.applications import ScriptedPolicy
+from tests.support.applications import ScriptedPolicy, running
 from tests.test_http_backend_protocol import h11_server
 from tests.test_http_clients import BODY, READ, HttpClient, post_request
 
@@ -270,19 +270,8 @@
     application = Application(config(entry(address) | {"kind": kind}), operator=OPERATOR)
     if scripted_policy is not None:
         application.exchange.policy = scripted_policy
-    task = asyncio.create_task(application.run(asyncio.Event()))
-    await application.serving.wait()
-    try:
-        yield (
-            application,
-            [listener.listening_socket.getsockname() for listener in application.listeners],
-        )
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        for listener in application.listeners:
-            listener.close()
-        application.backends.close()
+    async with running(application) as addresses:
+        yield application, addresses
 
 
 def redis_client(address: Address) -> Any:
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -18,10 +18,10 @@
 from ingress.policy.actions import Action
 from ingress.policy.events import Event, RequestReceived
 from ingress.policy.settings import RequestClass
-from ingress.transport import client_connection
+from ingress.transport import client_connection, client_listener
 from ingress.transport.client_connection import ClientConnection
 from tests.peers import Address, Caller, command, config, resp, run, until
-from tests.support.applications import ScriptedPolicy
+from tests.support.applications import ScriptedPolicy, running
 from tests.support.races import ingress_with_open_requests, is_closed, send_now
 from tests.test_http_clients import READ, HttpClient
 from tests.test_resp3 import OPERATOR
@@ -120,21 +120,18 @@
 
 
 @asynccontextmanager
-async def ingress_with_all_front_ends() -> AsyncIterator[tuple[Application, ScriptedPolicy]]:
-    """Runs an ingress with a listener for each kind of client; its policy leaves requests open."""
+async def ingress_with_all_front_ends() -> AsyncIterator[
+    tuple[Application, list[Address], ScriptedPolicy]
+]:
+    """Runs an ingress with a listener for each kind of client; its policy leaves requests open.
+
+    Yields the ingress, the addresses of its listeners and the policy.
+    """
     ingress = Application(config(), operator=OPERATOR)
     stub = ScriptedPolicy(None)
     ingress.exchange.policy = stub
-    task = asyncio.create_task(ingress.run(asyncio.Event()))
-    await ingress.serving.wait()
-    try:
-        yield ingress, stub
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        for listener in ingress.listeners:
-            listener.close()
-        ingress.backends.close()
+    async with running(ingress) as addresses:
+        yield ingress, addresses, stub
 
 
 def the_connection(ingress: Application, listener: int = 0) -> ClientConnection:
@@ -148,9 +145,8 @@
     limit = client_connection.MAX_PIPELINED_REQUESTS
 
     async def body() -> None:
-        async with ingress_with_all_front_ends() as (ingress, stub):
-            address = ingress.listeners[front_end.listener].listening_socket.getsockname()
-            writer, read = await front_end.connect(address)
+        async with ingress_with_all_front_ends() as (ingress, addresses, stub):
+            writer, read = await front_end.connect(addresses[front_end.listener])
             requests = [
                 front_end.request(str(n)) for n in range(limit + READ_BEHIND_THE_LIMIT + UNREAD)
             ]
@@ -314,3 +310,31 @@
             waiting.close()
 
     run(body())
+
+
+@pytest.mark.interpreted
+def test_a_closing_connection_gives_its_client_as_long_to_read_as_any_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against cutting the last response: the connection lingered for less time than that."""
+    monkeypatch.setattr(client_connection, "LINGER_TIME_S", 0.1)
+    monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_S", 0.02)
+    response = bytes(32_000_000)  # exceeds the buffers of both sockets
+
+    async def body() -> None:
+        async with ingress_with_all_front_ends() as (ingress, addresses, stub):
+            http = FRONT_ENDS["http-v2"]
+            reader, writer = await asyncio.open_connection(*addresses[http.listener])
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            request = http.request("r1").replace(b"Host: x", b"Host: x\r\nConnection: close")
+            writer.write(request)
+            await until(lambda: stub.events_of(RequestReceived))
+            connection = the_connection(ingress, http.listener)
+            connection.pending[0].complete(response)
+            blocked_at = ingress.clock()
+            await until(lambda: ingress.clock() > blocked_at + 3 * client_connection.LINGER_TIME_S)
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert len(await reader.read()) == len(response)
+            await until(ingress.listeners[http.listener].empty)
+
+    run(body())
