Tests: a busy machine does not end the connection of a client that reads late

The test of a closing connection waits three linger times before its client reads. It sets the time that a client has to read to 10 s, so that only the linger time can end the connection; a stall of 2 s could end it before.

--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -318,6 +318,7 @@
 ) -> None:
     """Guards against cutting the last response: the connection lingered for less time than that."""
     monkeypatch.setattr(client_connection, "LINGER_TIME_S", 0.1)
+    monkeypatch.setattr(client_connection, "PROGRESS_TIMEOUT_S", 10.0)
     monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_S", 0.02)
     response = bytes(32_000_000)  # exceeds the buffers of both sockets
 
