Count why connections are closed and why requests are rejected unseen

SIGUSR1 now also logs a line `diagnostics` with the closed client connections by reason, the requests rejected before the policy decides by reason, the bytes that count against the memory limits, and the number of customers. The line `counts` keeps its keys, which golden files fix.

--- a/ingress/application.py
+++ b/ingress/application.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from ingress.configuration_reload import ConfigurationReloader
@@ -24,6 +25,7 @@
 from ingress.resp.client_protocol import make_client_protocol
 from ingress.transport.backend_pool import BackendPool
 from ingress.transport.client_listener import ClientListener
+from ingress.transport.close_reason import CloseReason
 
 if TYPE_CHECKING:
     from ingress.components import Component
@@ -242,6 +244,30 @@
             counts |= self.translator.counts()
         return counts
 
+    def diagnostics(self) -> dict[str, Any]:
+        """Returns why connections were closed and requests rejected, and the memory in use."""
+        return {
+            "closed": self._closed_connections(),
+            "rejected": {reason.value: count for reason, count in self.exchange.rejections.items()},
+            "memory": self._memory_in_use(),
+        }
+
+    def _closed_connections(self) -> dict[str, int]:
+        """Returns the number of client connections closed on all listeners, by reason."""
+        total: Counter[CloseReason] = Counter()
+        for listener in self.listeners:
+            total += listener.closures
+        return {reason.value: count for reason, count in total.items()}
+
+    def _memory_in_use(self) -> dict[str, int]:
+        """Returns the bytes that count against each memory limit, and the number of customers."""
+        return {
+            "limit": self.config.max_buffered_bytes,
+            "requests": self.exchange.buffered_bytes,
+            "input": sum(listener.buffered_bytes for listener in self.listeners),
+            "customers": len(self.gateway.admission.customers),
+        }
+
 
 def _make_translator(config: Config, operator: OperatorConfig | None) -> VersionTranslator | None:
     if operator is None or operator.protocol_versions is None:
--- a/ingress/core/exchange.py
+++ b/ingress/core/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter as Tally
 from collections import deque
 from collections.abc import Mapping
 
@@ -25,6 +26,7 @@
     Timers,
     Upstream,
 )
+from ingress.core.rejection import RejectionReason
 from ingress.policy.actions import (
     Action,
     AddToCounter,
@@ -74,6 +76,7 @@
         pending_events: Events that occurred while the policy was handling another one.
         handling: Whether the policy is handling an event.
         rejecting_all: Whether new requests are rejected, since the process is about to end.
+        rejections: The number of requests rejected without a decision of the policy, by reason.
         unsupported_actions: Names of unsupported actions that have been logged.
         deduplication_windows: Seconds for which backends remember idempotency keys, by request
             class; only classes with keys.
@@ -107,6 +110,7 @@
         self.pending_events: deque[Event] = deque()
         self.handling = False
         self.rejecting_all = False
+        self.rejections: Tally[RejectionReason] = Tally()
         self.unsupported_actions: set[str] = set()
         self.deduplication_windows = {
             cls.name: cls.deduplication_window
@@ -129,23 +133,20 @@
             DuplicateRequestError: An open request has the same client request id.
         """
         if call.client_request_id in self.client_request_ids:
+            self.rejections[RejectionReason.DUPLICATE_ID] += 1
             raise DuplicateRequestError("the id belongs to an open request")
-        if (
-            self.rejecting_all
-            or len(self.open_requests) >= self.max_open_requests
-            or self.buffered_bytes > self.max_buffered_bytes
-        ):
-            downstream.respond(REJECTED_RESPONSE)
-            return
         time_left = arrived_at + call.timeout - self.clock()
         time_for_policy = policy_timeout(call.timeout, time_left)
-        if time_for_policy <= 0:
+        reason = self._rejection_reason(time_for_policy)
+        if reason is not None:
+            self.rejections[reason] += 1
             downstream.respond(REJECTED_RESPONSE)
             return
         cell = 0
         if self.placement is not None and call.idempotency_key:
             constraint = self.placement.admit(call, self.clock())
             if constraint.retry_after > 0:
+                self.rejections[RejectionReason.KEY_IN_DOUBT] += 1
                 retry_after = constraint.retry_after
                 downstream.respond(Response(ResponseKind.REJECTED, retry_after=retry_after))
                 return
@@ -153,6 +154,18 @@
         request = self._open(downstream, call, arrived_at + call.timeout, time_left)
         self.feed(request.received_event(time_for_policy, cell))
 
+    def _rejection_reason(self, time_for_policy: float) -> RejectionReason | None:
+        """Returns why a request can't be opened, or None if it can."""
+        if self.rejecting_all:
+            return RejectionReason.SHUTDOWN
+        if len(self.open_requests) >= self.max_open_requests:
+            return RejectionReason.OPEN_REQUESTS
+        if self.buffered_bytes > self.max_buffered_bytes:
+            return RejectionReason.MEMORY
+        if time_for_policy <= 0:
+            return RejectionReason.EXPIRED
+        return None
+
     def _open(
         self, downstream: Downstream, call: Call, deadline: float, time_left: float
     ) -> OpenRequest:
--- a/ingress/service.py
+++ b/ingress/service.py
@@ -101,6 +101,7 @@
 
 def _log_counts(application: Application) -> None:
     log.info("counts %s", json.dumps(application.counts()))
+    log.info("diagnostics %s", json.dumps(application.diagnostics()))
 
 
 def log_level() -> int:
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -11,6 +11,7 @@
 
 from ingress.core.calls import REJECTED_RESPONSE, DuplicateRequestError, InvalidCallError
 from ingress.transport.client_protocol import MalformedFrameError
+from ingress.transport.close_reason import CloseReason
 from ingress.transport.pending_response import PendingResponse
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
         unparsed: Received bytes that are an incomplete request or are not parsed yet.
         partial_since: Arrival time of the first byte of a partial request, or None.
         write_blocked_at: Time since which the client has not read its responses, or None.
+        close_reason: Why the connection ends; meaningful once it is closed.
         closing: Whether further requests are ignored; the connection closes after the pending
             responses.
         pipeline_full: Whether parsing has stopped at `MAX_PIPELINED_REQUESTS`.
@@ -52,6 +54,7 @@
     """
 
     __slots__ = (
+        "close_reason",
         "closing",
         "consecutive_malformed",
         "discarded_bytes",
@@ -85,6 +88,7 @@
         self.consecutive_malformed = 0
         self.discarded_bytes = 0
         self.pipeline_full = False
+        self.close_reason = CloseReason.CLIENT
         self.closing = False
         self.reading_paused = False
         self.parsing = False
@@ -113,7 +117,7 @@
         if self._exceeds_buffer_limit():
             self._parse(rejecting=True)
         if self._exceeds_buffer_limit():
-            self._fail("too much is on the way")
+            self._fail("too much is on the way", CloseReason.INPUT_LIMIT)
 
     def _exceeds_buffer_limit(self) -> bool:
         """Returns whether unparsed bytes on all connections, some on this one, are too many."""
@@ -249,6 +253,8 @@
             self.consecutive_malformed >= MAX_CONSECUTIVE_MALFORMED_REQUESTS
             or self.protocol.close_requested
         )
+        if self.closing:
+            self.close_reason = CloseReason.MALFORMED
         pending = PendingResponse(self)
         self._append(pending)
         pending.complete(self.protocol.encode_error(reason))
@@ -258,9 +264,10 @@
             self.listener.idle_connections.remove(self)
         self.pending.append(pending)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, close_reason: CloseReason = CloseReason.MALFORMED) -> None:
         """Closes the connection after the pending responses; later input can't be decoded."""
         self.listener.log_malformed(reason)
+        self.close_reason = close_reason
         self.closing = True
         self._drop_unparsed()
         pending = PendingResponse(self)
@@ -357,8 +364,15 @@
             and not self.unparsed
             and not self.has_unread_input()
         ):
+            self.close_reason = CloseReason.IDLE
             self.transport.close()
 
+    def abort(self, reason: CloseReason) -> None:
+        """Closes the connection immediately; unsent responses are dropped."""
+        if self.transport is not None:
+            self.close_reason = reason
+            self.transport.abort()
+
     def is_open(self) -> bool:
         """Returns whether the connection is neither closed nor being closed."""
         return self.transport is not None and not self.transport.is_closing()
@@ -388,13 +402,14 @@
             return
         if self.write_blocked_at is not None:
             if now - self.write_blocked_at > PROGRESS_TIMEOUT_S:
-                self.transport.abort()
+                self.abort(CloseReason.NOT_READING)
         elif self.closing and not self.pending:
             if now - self.last_used_at > LINGER_TIME_S:
-                self.transport.abort()
+                lingered = self.close_reason is CloseReason.CLIENT
+                self.abort(CloseReason.LINGER if lingered else self.close_reason)
         elif self.partial_since is not None:
             if now - self.partial_since > PROGRESS_TIMEOUT_S:
-                self._fail("the rest of the command did not come")
+                self._fail("the rest of the command did not come", CloseReason.INCOMPLETE)
         elif not self.pending:
             new = self in self.listener.idle_connections.awaiting_first_request
             if now - self.last_used_at > (PROGRESS_TIMEOUT_S if new else IDLE_TIMEOUT_S):
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -6,11 +6,13 @@
 import errno
 import logging
 import socket
+from collections import Counter
 from typing import Any, Final, cast
 
 from ingress.core.clock import Clock
 from ingress.transport.client_connection import FIRST_REQUEST_GRACE_S, ClientConnection
 from ingress.transport.client_protocol import ClientProtocolFactory
+from ingress.transport.close_reason import CloseReason
 from ingress.transport.hangup_watcher import HangupWatcher
 from ingress.transport.idle_connections import IdleConnections
 from ingress.transport.pending_response import RequestHandler
@@ -39,6 +41,7 @@
         malformed_requests: Counts malformed requests.
         accept_failures: Counts failed `accept` calls.
         codec_faults: Counts the unexpected exceptions raised by codecs.
+        closures: The number of connections closed, by reason.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self.malformed_requests = SampledLog(LOG_SAMPLING_INTERVAL)
         self.accept_failures = SampledLog(LOG_SAMPLING_INTERVAL)
         self.codec_faults = SampledLog(LOG_SAMPLING_INTERVAL)
+        self.closures: Counter[CloseReason] = Counter()
         self.listening_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listening_socket.setblocking(False)
         self.listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -174,12 +178,14 @@
         connection = self.idle_connections.pop_for_eviction(self.clock())
         if connection is not None and connection.transport is not None:
             self.evicted.add(connection)
-            connection.transport.abort()
+            connection.abort(CloseReason.EVICTED)
 
     # Called by the connections
 
     def remove(self, connection: ClientConnection) -> None:
         """Removes a closed connection."""
+        if connection in self.connections:
+            self.closures[connection.close_reason] += 1
         self.connections.discard(connection)
         self.evicted.discard(connection)
         self._resume_accepting()
