--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,116 @@
+"""Clients that misuse their connections neither exhaust the memory nor keep others from answers."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.peers import Address, Caller, backend, command, run
+from tests.support.front_ends import FRONT_ENDS
+from tests.support.processes import LEAST_MEMORY_MB, ROOT, Instance, limited_instance
+
+HOSTILE_SECONDS = 4.0
+SAMPLE_INTERVAL_S = 0.05
+REQUEST_INTERVAL_S = 0.05
+TIMEOUT_S = 2.0  # of the judged requests
+LATENESS_ALLOWED_S = 0.5  # a later answer counts as lost
+MIN_SERVED_SHARE = 0.5
+
+
+class WellBehavedClient:
+    """A client that sends one request after another, each on a new connection.
+
+    Attributes:
+        served: The number of requests that a backend served.
+        answered: The number of requests with a final response in time.
+        unanswered: Descriptions of the others.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.served = 0
+        self.answered = 0
+        self.unanswered: list[str] = []
+
+    async def run(self) -> None:
+        number = 0
+        while True:
+            number += 1
+            await self._request(f"good{number}")
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+
+    async def _request(self, request_id: str) -> None:
+        started_at = time.monotonic()
+        try:
+            async with asyncio.timeout(TIMEOUT_S + LATENESS_ALLOWED_S):
+                caller = await Caller.connect(self.address)
+                answer = await caller.request(command(request_id, customer=(1 << 33) - 1))
+        except (OSError, EOFError, TimeoutError) as error:
+            after = time.monotonic() - started_at
+            self.unanswered.append(f"{request_id}: {type(error).__name__} after {after:.3f} s")
+            return
+        caller.writer.close()
+        self.answered += 1
+        self.served += answer == request_id.encode()
+
+
+async def _peak_memory_mb(instance: Instance, attack: asyncio.subprocess.Process) -> float:
+    """Returns the instance's greatest anonymous memory until the hostile clients end."""
+    peak = 0.0
+    while attack.returncode is None:
+        assert instance.process.poll() is None, "the process ended by itself"
+        peak = max(peak, instance.anonymous_memory_mb())
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+    return peak
+
+
+async def _withstand(behaviour: str, front_end: str, directory: Path) -> None:
+    """Asserts that an instance keeps its memory limit and answers another client in time."""
+    listener = FRONT_ENDS[front_end].listener
+    async with (
+        backend() as peer,
+        limited_instance(peer.address, directory, listener > 0) as instance,
+    ):
+        port = instance.addresses[listener][1]
+        attack = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "tests.support.hostile_clients"),
+            *(behaviour, front_end, str(port), str(HOSTILE_SECONDS)),
+            cwd=ROOT,
+        )
+        client = WellBehavedClient(instance.addresses[0])
+        running = asyncio.create_task(client.run())
+        try:
+            peak = await _peak_memory_mb(instance, attack)
+        finally:
+            running.cancel()
+            if attack.returncode is None:
+                attack.kill()
+        assert attack.returncode == 0
+        assert peak <= LEAST_MEMORY_MB
+        assert not client.unanswered
+        assert client.answered
+        assert client.served >= MIN_SERVED_SHARE * client.answered
+
+
+@pytest.mark.parametrize("front_end", FRONT_ENDS)
+@pytest.mark.parametrize(
+    "behaviour", ["write_slowly", "stop_half_way", "short_fields", "read_nothing"]
+)
+def test_hundreds_of_slow_clients_do_not_exhaust_the_memory(
+    behaviour: str, front_end: str, tmp_path: Path
+) -> None:
+    """Guards against kills for memory by clients that stop half way, trickle, or do not read."""
+    run(_withstand(behaviour, front_end, tmp_path))
+
+
+@pytest.mark.parametrize("front_end", FRONT_ENDS)
+@pytest.mark.parametrize("behaviour", ["small", "unsound", "new_customers"])
+def test_a_flood_on_one_connection_does_not_delay_other_clients(
+    behaviour: str, front_end: str, tmp_path: Path
+) -> None:
+    """Guards against one connection that keeps the event loop busy or makes memory grow."""
+    run(_withstand(behaviour, front_end, tmp_path))
