RESP: hold the bytes of an incomplete command once

Cause: to find the end of a command, RespClientProtocol copied the words into self.words and kept them until the next command, also when the command was incomplete and even after the connection had failed with "too much is on the way" and dropped its input. The limit on unparsed bytes did not count these copies. Now the words are kept only if the command is complete. RESP3 shares the code.

--- a/ingress/resp/client_protocol.py
+++ b/ingress/resp/client_protocol.py
@@ -35,7 +35,7 @@
     Attributes:
         close_requested: Always False; no command closes the connection.
         commands: Decodes API.READ and API.WRITE.
-        words: The words of the command that `find_frame_end` found last.
+        words: The words of the command that `find_frame_end` found last; empty if incomplete.
     """
 
     __slots__ = ("close_requested", "commands", "words")
@@ -52,8 +52,10 @@
             MalformedFrameError: The bytes at `at` are not a valid command, or exceed a limit.
         """
         words: list[bytes | None] = []
-        self.words = cast("list[bytes]", words)  # COMMAND_LIMITS rejects nulls
-        return find_array_end(data, at, COMMAND_LIMITS, words)
+        end = find_array_end(data, at, COMMAND_LIMITS, words)
+        # The words of an incomplete command would occupy its size a second time.
+        self.words = cast("list[bytes]", words) if end >= 0 else []  # COMMAND_LIMITS rejects nulls
+        return end
 
     def interim_response(self) -> bytes:
         """Returns b"": RESP has no interim responses."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.peers import Address, Caller, backend, command, run
+from ingress.resp.client_protocol import make_client_protocol
+from tests.peers import Address, Caller, backend, command, config, resp, run
 from tests.support.front_ends import FRONT_ENDS
 from tests.support.processes import LEAST_MEMORY_MB, ROOT, Instance, limited_instance
 
@@ -114,3 +115,13 @@
 ) -> None:
     """Guards against one connection that keeps the event loop busy or makes memory grow."""
     run(_withstand(behaviour, front_end, tmp_path))
+
+
+def test_an_incomplete_command_is_held_once() -> None:
+    """Guards against a second copy of the words of each incomplete command."""
+    protocol = make_client_protocol(config().settings)()
+    data = resp(b"API.WRITE", b"x" * 1000, b"y" * 1000)
+    assert protocol.find_frame_end(data[:-1], 0) == -1
+    assert protocol.words == []
+    assert protocol.find_frame_end(data, 0) == len(data)
+    assert len(protocol.words) == 3
