Bound the unsent responses, the input and the work per turn of a client connection

- Responses to clients that do not read were bounded for each connection only.
They count against a limit over all connections now; beyond it the connection with the most of them is closed.
Bytes of closed connections count until the loop has freed them.
- All requests of a read, up to 256 KB, and up to 32 reads in a row, were handled in one callback.
A connection now has turns of 32 requests and one large read for each iteration of the event loop.
- At the limit on unparsed input, the connection that received the last byte was failed.
Now the largest input is rejected or dropped.
- An incomplete request was parsed from its start for each piece that arrived.
Codecs now say how many bytes are missing, and HTTP scans continue where they stopped.
- The system buffered megabytes for each connection; the listener sets 128 KB.
Blocks from 16 KB are mapped, so that the C library returns them.

--- a/ingress/application.py
+++ b/ingress/application.py
@@ -265,6 +265,7 @@
             "limit": self.config.max_buffered_bytes,
             "requests": self.exchange.buffered_bytes,
             "input": sum(listener.buffered_bytes for listener in self.listeners),
+            "unsent": sum(listener.unsent_responses.open_bytes for listener in self.listeners),
             "customers": len(self.gateway.admission.customers),
         }
 
--- a/ingress/http/client_protocol.py
+++ b/ingress/http/client_protocol.py
@@ -10,13 +10,7 @@
 
 from ingress.core.call_limits import CallLimits
 from ingress.core.calls import Call, InvalidCallError, Response
-from ingress.http.frames import (
-    awaits_continue,
-    find_head_end,
-    find_request_end,
-    parse_fields,
-    skip_empty_lines,
-)
+from ingress.http.frames import RequestScanner, find_head_end, parse_fields, skip_empty_lines
 from ingress.policy.settings import Settings
 from ingress.protocol_versions import http_v2
 from ingress.transport.client_protocol import MalformedFrameError
@@ -58,15 +52,26 @@
     Attributes:
         close_requested: Whether the client asked to close the connection after the last request.
         limits: Checks the fields of calls.
+        missing_bytes: After an incomplete request, the number of bytes that it needs at least.
+        scanner: The scan of the request that is still incomplete.
         continue_awaited: Whether the client waits for 100 (Continue).
         continue_sent: Whether 100 (Continue) was sent for the request that is still incomplete.
     """
 
-    __slots__ = ("close_requested", "continue_awaited", "continue_sent", "limits")
+    __slots__ = (
+        "close_requested",
+        "continue_awaited",
+        "continue_sent",
+        "limits",
+        "missing_bytes",
+        "scanner",
+    )
 
     def __init__(self, limits: CallLimits) -> None:
         self.limits = limits
         self.close_requested = False
+        self.missing_bytes = 1
+        self.scanner = RequestScanner()
         self.continue_awaited = False
         self.continue_sent = False
 
@@ -76,9 +81,12 @@
         Raises:
             MalformedFrameError: The bytes at `at` are not a valid request, or exceed a limit.
         """
-        end = find_request_end(data, at)
+        end = self.scanner.find_end(data, at)
         if end < 0:
-            self.continue_awaited = not self.continue_sent and awaits_continue(data, at)
+            self.missing_bytes = self.scanner.missing_bytes
+            self.continue_awaited = not self.continue_sent and self.scanner.awaits_continue
+        else:
+            self.scanner = RequestScanner()
         return end
 
     def interim_response(self) -> bytes:
--- a/ingress/http/frames.py
+++ b/ingress/http/frames.py
@@ -111,39 +111,84 @@
         MalformedFrameError: The bytes at `start` are not a valid request, exceed a limit, or have
             an ambiguous length (RFC 9112, section 6.3).
     """
-    head_start = skip_empty_lines(data, start)
-    head_end = find_head_end(data, head_start)
-    if head_end < 0:
-        _check_line_ends(data[head_start : head_start + MAX_HEAD_BYTES])
-        return -1
-    fields = parse_fields(data[head_start:head_end])
-    body_start = head_end + len(HEAD_END)
-    if b"transfer-encoding" in fields:
-        if b"content-length" in fields or fields[b"transfer-encoding"].lower() != b"chunked":
-            raise MalformedFrameError("two lengths, or a transfer coding other than chunked")
-        return _find_chunked_body_end(data, body_start)
-    content_length = fields.get(b"content-length", b"0")
-    if not CONTENT_LENGTH.fullmatch(content_length):
-        raise MalformedFrameError("a length that is no number")
-    body_bytes = int(content_length)
-    if body_bytes > MAX_BODY_BYTES:
-        raise MalformedFrameError("a body too large")
-    end = body_start + body_bytes
-    return end if len(data) >= end else -1
+    return RequestScanner().find_end(data, start)
+
+
+class RequestScanner:
+    """Finds the end of one request, whose bytes arrive in pieces.
+
+    A scan continues where the previous one stopped: a client that sends a request byte by byte
+    would otherwise cause a scan of the whole request for each byte.
+
+    Attributes:
+        missing_bytes: After an incomplete scan, the number of bytes without which the request can't
+            be complete.
+        awaits_continue: Whether the head is complete and requests 100 (Continue) before the body
+            (RFC 9110, section 10.1.1).
+        body_start: The offset of the body from the request's start; -1 until the head is complete.
+        content_bytes: The length of a body that is not chunked.
+        chunks: The scan of a chunked body; None for any other.
+    """
+
+    __slots__ = ("awaits_continue", "body_start", "chunks", "content_bytes", "missing_bytes")
 
+    def __init__(self) -> None:
+        self.missing_bytes = 1
+        self.awaits_continue = False
+        self.body_start = -1
+        self.content_bytes = 0
+        self.chunks: ChunkScanner | None = None
 
-def awaits_continue(data: bytes, start: int) -> bool:
-    """Returns whether the head is complete and requests 100 (Continue) before the body.
+    def find_end(self, data: bytes, start: int) -> int:
+        """Returns the end offset of the request at `start`, or -1 if it is incomplete.
+
+        Raises:
+            MalformedFrameError: The bytes are not a valid request, exceed a limit, or have an
+                ambiguous length (RFC 9112, section 6.3).
+        """
+        self.missing_bytes = 1
+        if self.body_start < 0 and not self._scan_head(data, start):
+            return -1
+        body_start = start + self.body_start
+        if self.chunks is not None:
+            end = self.chunks.find_end(data, body_start)
+            self.missing_bytes = self.chunks.missing_bytes
+            return end
+        end = body_start + self.content_bytes
+        self.missing_bytes = max(1, end - len(data))
+        return end if len(data) >= end else -1
+
+    def _scan_head(self, data: bytes, start: int) -> bool:
+        """Reads the length of the body from the head; returns False if the head is incomplete."""
+        head_start = skip_empty_lines(data, start)
+        head_end = find_head_end(data, head_start)
+        if head_end < 0:
+            _check_line_ends(data[head_start : head_start + MAX_HEAD_BYTES])
+            return False
+        fields = parse_fields(data[head_start:head_end])
+        if b"transfer-encoding" in fields:
+            if b"content-length" in fields or fields[b"transfer-encoding"].lower() != b"chunked":
+                raise MalformedFrameError("two lengths, or a transfer coding other than chunked")
+            self.chunks = ChunkScanner()
+        else:
+            self.content_bytes = _read_content_length(fields.get(b"content-length", b"0"))
+        self.body_start = head_end + len(HEAD_END) - start
+        self.awaits_continue = fields.get(b"expect", b"").lower() == b"100-continue"
+        return True
+
+
+def _read_content_length(text: bytes) -> int:
+    """Returns the length of a body.
 
     Raises:
-        MalformedFrameError: The head is malformed.
+        MalformedFrameError: The text is not a number, or exceeds the limit.
     """
-    head_start = skip_empty_lines(data, start)
-    head_end = data.find(HEAD_END, head_start, head_start + MAX_HEAD_BYTES)
-    if head_end < 0:
-        return False
-    fields = parse_fields(data[head_start:head_end])
-    return fields.get(b"expect", b"").lower() == b"100-continue"
+    if not CONTENT_LENGTH.fullmatch(text):
+        raise MalformedFrameError("a length that is no number")
+    body_bytes = int(text)
+    if body_bytes > MAX_BODY_BYTES:
+        raise MalformedFrameError("a body too large")
+    return body_bytes
 
 
 def _check_line_ends(data: bytes) -> None:
@@ -156,36 +201,68 @@
         raise MalformedFrameError("a line that ends in a bare line feed")
 
 
-def _find_chunked_body_end(data: bytes, body_start: int) -> int:
-    """Returns the end offset of a chunked body and its trailers, or -1 if it is incomplete.
+class ChunkScanner:
+    """Finds the end of one chunked body and its trailers, whose bytes arrive in pieces.
 
     Source: RFC 9112, section 7.1.
 
-    Raises:
-        MalformedFrameError: A chunk or a trailer is malformed, or the body exceeds a limit.
+    Attributes:
+        missing_bytes: After an incomplete scan, the number of bytes without which the body can't be
+            complete.
+        chunk_count: The number of chunks scanned.
+        scanned: The offset of the next chunk from the body's start.
+        trailers_start: The offset of the trailers from the body's start; -1 before the last chunk.
     """
-    at = body_start
-    for _ in range(MAX_CHUNKS):
+
+    __slots__ = ("chunk_count", "missing_bytes", "scanned", "trailers_start")
+
+    def __init__(self) -> None:
+        self.missing_bytes = 1
+        self.chunk_count = 0
+        self.scanned = 0
+        self.trailers_start = -1
+
+    def find_end(self, data: bytes, body_start: int) -> int:
+        """Returns the end offset of the body at `body_start`, or -1 if it is incomplete.
+
+        Raises:
+            MalformedFrameError: A chunk or a trailer is malformed, or the body exceeds a limit.
+        """
+        self.missing_bytes = 1
+        while self.trailers_start < 0:
+            if self.chunk_count >= MAX_CHUNKS:
+                raise MalformedFrameError("chunks without end")
+            if not self._scan_chunk(data, body_start):
+                return -1
+        return _find_trailers_end(data, body_start + self.trailers_start)
+
+    def _scan_chunk(self, data: bytes, body_start: int) -> bool:
+        """Scans the next chunk; returns False if it is incomplete."""
+        at = body_start + self.scanned
         head_end = data.find(CRLF, at, at + MAX_CHUNK_HEAD_BYTES)
         if head_end < 0:
             if len(data) - at >= MAX_CHUNK_HEAD_BYTES:
                 raise MalformedFrameError("a chunk without a size")
-            return -1
+            return False
         chunk_head = CHUNK_HEAD.fullmatch(data[at:head_end])
         if chunk_head is None:
             raise MalformedFrameError("a chunk without a size")
         chunk_bytes = int(chunk_head[1], 16)
         chunk_start = head_end + len(CRLF)
         if chunk_bytes == 0:
-            return _find_trailers_end(data, chunk_start)
-        at = chunk_start + chunk_bytes + len(CRLF)
-        if at - body_start > MAX_BODY_BYTES:
+            self.trailers_start = chunk_start - body_start
+            return True
+        end = chunk_start + chunk_bytes + len(CRLF)
+        if end - body_start > MAX_BODY_BYTES:
             raise MalformedFrameError("a body too large")
-        if len(data) < at:
-            return -1
-        if data[at - len(CRLF) : at] != CRLF:
+        if len(data) < end:
+            self.missing_bytes = end - len(data)
+            return False
+        if data[end - len(CRLF) : end] != CRLF:
             raise MalformedFrameError("a chunk whose size does not fit")
-    raise MalformedFrameError("chunks without end")
+        self.scanned = end - body_start
+        self.chunk_count += 1
+        return True
 
 
 def _find_trailers_end(data: bytes, start: int) -> int:
--- a/ingress/resp/backend_protocol.py
+++ b/ingress/resp/backend_protocol.py
@@ -102,7 +102,7 @@
         MalformedFrameError: The bytes are neither, or exceed a limit.
     """
     if data[:1] != b"-":
-        return find_array_end(data, 0, REPLY_LIMITS, items)
+        return max(-1, find_array_end(data, 0, REPLY_LIMITS, items))
     end = data.find(CRLF, 0, MAX_ERROR_LINE_BYTES)
     if end < 0 and len(data) >= MAX_ERROR_LINE_BYTES:
         raise MalformedFrameError("an endless line")
--- a/ingress/resp/client_protocol.py
+++ b/ingress/resp/client_protocol.py
@@ -34,15 +34,17 @@
 
     Attributes:
         close_requested: Always False; no command closes the connection.
+        missing_bytes: After an incomplete command, the number of bytes that it needs at least.
         commands: Decodes API.READ and API.WRITE.
         words: The words of the command that `find_frame_end` found last; empty if incomplete.
     """
 
-    __slots__ = ("close_requested", "commands", "words")
+    __slots__ = ("close_requested", "commands", "missing_bytes", "words")
 
     def __init__(self, commands: CommandDecoder) -> None:
         self.commands = commands
         self.close_requested = False
+        self.missing_bytes = 1
         self.words: list[bytes] = []
 
     def find_frame_end(self, data: bytes, at: int) -> int:
@@ -53,8 +55,12 @@
         """
         words: list[bytes | None] = []
         end = find_array_end(data, at, COMMAND_LIMITS, words)
-        # The words of an incomplete command would occupy its size a second time.
-        self.words = cast("list[bytes]", words) if end >= 0 else []  # COMMAND_LIMITS rejects nulls
+        if end < 0:
+            # The words of an incomplete command would occupy its size a second time.
+            self.words = []
+            self.missing_bytes = -end
+            return -1
+        self.words = cast("list[bytes]", words)  # COMMAND_LIMITS rejects nulls
         return end
 
     def interim_response(self) -> bytes:
--- a/ingress/resp/frames.py
+++ b/ingress/resp/frames.py
@@ -42,9 +42,11 @@
 
 
 def find_array_end(data: bytes, start: int, limits: ArrayLimits, items: list[bytes | None]) -> int:
-    """Returns the end offset of the array of bulk strings at `start`, or -1 if it is incomplete.
+    """Returns the end offset of the array of bulk strings at `start`.
 
     Appends the items to `items`, with None for a null; `items` is valid only if the end is found.
+    If the array is incomplete, returns minus the number of bytes without which it can't be
+    complete, at least 1.
 
     Raises:
         MalformedFrameError: The bytes at `start` are not an array of bulk strings, or exceed a
@@ -78,7 +80,7 @@
             raise MalformedFrameError("value too large")
         if data[at : at + 2] != CRLF:
             _check_partial_terminator(data, at)
-            return -1
+            return min(-1, len(data) - at - 2)
         items.append(data[header_end + 2 : at])
         at += 2
     return at
--- a/ingress/service.py
+++ b/ingress/service.py
@@ -17,6 +17,7 @@
 from ingress.application import Application
 from ingress.compilation import Form
 from ingress.platform.config import Config, ConfigurationError, read_config
+from ingress.platform.heap import return_large_blocks
 
 if TYPE_CHECKING:
     from ingress.platform.operator_config import OperatorConfig
@@ -138,6 +139,7 @@
     except ConfigurationError as error:
         return _fail(f"{error}", EXIT_BAD_CONFIGURATION)
     log.info("%s", form)
+    return_large_blocks()
     # Imported objects are never released.  Each full collection would visit all of them, which
     # takes about 20 ms in which no request is served.
     gc.freeze()
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -7,24 +7,32 @@
 import select
 import socket
 from collections import deque
+from enum import Enum, auto
 from typing import TYPE_CHECKING, Final, cast
 
 from ingress.core.calls import REJECTED_RESPONSE, DuplicateRequestError, InvalidCallError
 from ingress.transport.client_protocol import MalformedFrameError
 from ingress.transport.close_reason import CloseReason
+from ingress.transport.input_buffer import InputBuffer
 from ingress.transport.pending_response import PendingResponse
+from ingress.transport.response_queue import ResponseQueue
 
 if TYPE_CHECKING:
     from ingress.transport.client_listener import ClientListener
 
 log = logging.getLogger(__name__)
 
-MAX_PIPELINED_REQUESTS: Final = 64  # unanswered on one connection; no more are read meanwhile
+MAX_PIPELINED_REQUESTS: Final = 64  # unanswered on one connection
+MAX_REQUESTS_PER_TURN: Final = 32  # of one connection in one iteration of the event loop
 MAX_CONSECUTIVE_MALFORMED_REQUESTS: Final = 8  # after these the connection is closed
 MAX_DISCARDED_BYTES: Final = 1024 * 1024  # after these a closing connection is no longer read
 # For a first request, for the rest of a partial one, and for the client to read responses.  Lost
 # segments are retransmitted after 0.2, 0.4 and 0.8 s.
 PROGRESS_TIMEOUT_S: Final = 2.0
+LARGE_READ_BYTES: Final = 64 * 1024  # after a larger read other connections are served first
+MAX_REJECTION_BYTES: Final = 128  # of a codec's own response while requests are rejected
+MAX_UNBLOCKED_BYTES: Final = 64 * 1024  # unsent; a client that leaves more does not read
+MAX_BATCHED_BYTES: Final = 16 * 1024  # of responses that are collected for one write
 # Longer than PROGRESS_TIMEOUT_S, since a new connection costs both sides more than an idle one.
 IDLE_TIMEOUT_S: Final = 5.0
 LINGER_TIME_S: Final = 1.0  # for a client to read its last error while its input is discarded
@@ -32,6 +40,19 @@
 FIRST_REQUEST_GRACE_S: Final = 0.2
 
 
+class ParseEnd(Enum):
+    """Why the parsing of received bytes stopped."""
+
+    EMPTY = auto()
+    """All bytes are parsed, or the connection is closing."""
+    PARTIAL = auto()
+    """An incomplete request is left."""
+    WAITING = auto()
+    """Earlier responses must be completed or read first."""
+    TURN_OVER = auto()
+    """Other connections are served before the next requests of this one."""
+
+
 class ClientConnection:
     """One client connection.
 
@@ -39,37 +60,42 @@
     class can't inherit from an interpreted one.
 
     Attributes:
+        busy: Whether a request is open or its response is not written; else the connection is one
+            of the listener's idle connections.
         last_used_at: When the connection was made, when its last open request was answered, or when
             the client of a closing connection resumed reading; in seconds of the clock.
-        unparsed: Received bytes that are an incomplete request or are not parsed yet.
+        input: Received bytes that are an incomplete request or are not parsed yet.
         partial_since: Arrival time of the first byte of a partial request, or None.
         write_blocked_at: Time since which the client has not read its responses, or None.
         close_reason: Why the connection ends; meaningful once it is closed.
         closing: Whether further requests are ignored; the connection closes after the pending
             responses.
         pipeline_full: Whether parsing has stopped at `MAX_PIPELINED_REQUESTS`.
+        turn_scheduled: Whether parsing continues in the next iteration of the event loop.
         reading_paused: Whether reading from the socket is paused.
         parsing: Whether received bytes are being parsed; responses are then collected for one
             write.
     """
 
     __slots__ = (
+        "busy",
         "close_reason",
         "closing",
         "consecutive_malformed",
         "discarded_bytes",
+        "input",
         "last_used_at",
         "listener",
         "parsing",
         "partial_since",
-        "pending",
         "pipeline_full",
         "protocol",
         "reading_paused",
         "received_at",
+        "responses",
         "sock",
         "transport",
-        "unparsed",
+        "turn_scheduled",
         "write_blocked_at",
     )
 
@@ -78,9 +104,9 @@
         self.listener = listener
         self.sock = sock
         self.protocol = listener.make_protocol()
-        self.pending: deque[PendingResponse] = deque()
+        self.responses = ResponseQueue(listener.unsent_responses)
         self.transport: asyncio.Transport | None = None
-        self.unparsed = b""
+        self.input = InputBuffer()
         self.received_at = now
         self.last_used_at = now
         self.partial_since: float | None = None
@@ -88,16 +114,30 @@
         self.consecutive_malformed = 0
         self.discarded_bytes = 0
         self.pipeline_full = False
+        self.busy = False
         self.close_reason = CloseReason.CLIENT
         self.closing = False
         self.reading_paused = False
         self.parsing = False
+        self.turn_scheduled = False
+
+    @property
+    def pending(self) -> deque[PendingResponse]:
+        """The responses that are not written yet, in the order of their requests."""
+        return self.responses.pending
+
+    @property
+    def unparsed(self) -> bytes:
+        """The received bytes that are not parsed yet."""
+        return self.input.joined()
 
     # Called by the event loop
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection and adds it to the idle connections."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop has its own transport class
+        # Each write is tried at once, so the size of the write buffer is that of unsent responses.
+        self.transport.set_write_buffer_limits(high=0)
         self.last_used_at = self.listener.clock()
         self.listener.idle_connections.add_new(self)
         if self.listener.draining:
@@ -112,29 +152,44 @@
         listener = self.listener
         self.received_at = listener.stall_detector.arrival_time()
         listener.buffered_bytes += len(data)
-        self.unparsed = self.unparsed + data if self.unparsed else data
-        self._parse()
-        if self._exceeds_buffer_limit():
-            self._parse(rejecting=True)
-        if self._exceeds_buffer_limit():
-            self._fail("too much is on the way", CloseReason.INPUT_LIMIT)
+        self.input.append(data)
+        if self.input.may_hold_request() and not self.turn_scheduled:
+            self._parse()
+        if len(data) >= LARGE_READ_BYTES:
+            # The event loop would read from this connection again before it serves others.
+            self._schedule_turn()
+        self._update_flow_control()
+        if listener.buffered_bytes > listener.max_buffered_bytes:
+            listener.reduce_input()
 
-    def _exceeds_buffer_limit(self) -> bool:
-        """Returns whether unparsed bytes on all connections, some on this one, are too many."""
-        listener = self.listener
-        return bool(self.unparsed) and listener.buffered_bytes > listener.max_buffered_bytes
+    def release_input(self) -> bool:
+        """Rejects the complete requests that are not parsed, or drops the incomplete one.
 
-    def pause_writing(self) -> None:
-        """Pauses reading requests, since the client does not read its responses."""
-        self.write_blocked_at = self.listener.clock()
+        Returns:
+            Whether there was any input.
+        """
+        size = self.input.size
+        if not size or self.transport is None:
+            return False
+        self._parse(rejecting=True)
+        if self.input.size == size:
+            self._fail("too much is on the way", CloseReason.INPUT_LIMIT)
         self._update_flow_control()
+        return True
+
+    def pause_writing(self) -> None:
+        """Pauses reading requests if the client does not read its responses."""
+        self._update_unsent()
 
     def resume_writing(self) -> None:
         """Resumes parsing, since the client reads its responses again."""
+        self._update_unsent()
+        if self.write_blocked_at is None:
+            return
         self.write_blocked_at = None
         if self.closing:
             self.last_used_at = self.listener.clock()  # its client has yet to read the last bytes
-        self.listener.loop.call_soon(self._parse)
+        self._schedule_turn()
 
     def eof_received(self) -> None:
         """Treats the end of the client's sending as a disconnection."""
@@ -148,43 +203,47 @@
     # Requests
 
     def _parse(self, rejecting: bool = False) -> None:
-        """Handles the complete requests in the unparsed bytes, then writes completed responses.
+        """Handles complete requests in the received bytes, then writes completed responses.
 
         Args:
             rejecting: Whether to reject all of these requests, including those that would have to
-                wait until earlier responses are written.
+                wait for earlier responses or for the next turn.
         """
-        data = self.unparsed
-        self.unparsed = b""
-        self.listener.buffered_bytes -= len(data)
+        data = self.input.joined()
+        self._drop_input()
         self.parsing = True
-        end, partial = self._handle_frames(data, rejecting)
+        at, parse_end = self._handle_frames(data, rejecting)
         if not self.closing and self.transport is not None:
-            self.unparsed = data[end:]
-            self.listener.buffered_bytes += len(self.unparsed)
-        if not partial:
+            self._keep_input(data[at:], parse_end)
+        if parse_end is not ParseEnd.PARTIAL:
             self.partial_since = None
         elif self.partial_since is None:
             self.partial_since = self.received_at
         self.parsing = False
         self.flush()
-        self._update_flow_control()
+        if parse_end is ParseEnd.TURN_OVER:
+            self._schedule_turn()
 
-    def _handle_frames(self, data: bytes, rejecting: bool) -> tuple[int, bool]:
+    def _handle_frames(self, data: bytes, rejecting: bool) -> tuple[int, ParseEnd]:
         """Handles the complete requests in `data` until the connection has to wait.
 
         Returns:
-            The end of the last handled request, and whether a partial request follows it.
+            The end of the last handled request, and why parsing stopped there.
         """
         at = 0
-        while self.transport is not None and not self.closing:
-            if self._must_wait(rejecting) or at == len(data):
-                break
+        requests_left = MAX_REQUESTS_PER_TURN
+        while self.transport is not None and not self.closing and at < len(data):
+            if not rejecting:
+                if self._must_wait():
+                    return at, ParseEnd.WAITING
+                if not requests_left or self.listener.unsent_responses.is_full():
+                    return at, ParseEnd.TURN_OVER
+            requests_left -= 1
             try:
                 end = self.protocol.find_frame_end(data, at)
                 if end < 0:
                     self._send_interim_response()
-                    return at, True
+                    return at, ParseEnd.PARTIAL
                 frame = data[at:end]
                 at = end
                 self.partial_since = None
@@ -195,12 +254,33 @@
                 # A codec fault while finding frames ends only this connection.
                 self.listener.log_codec_fault("a frame")
                 self._fail("not understood")
-        return at, False
+        return at, ParseEnd.EMPTY
+
+    def _keep_input(self, data: bytes, parse_end: ParseEnd) -> None:
+        """Keeps the bytes that are not parsed."""
+        min_size = 1
+        if parse_end is ParseEnd.PARTIAL:
+            min_size = len(data) + self.protocol.missing_bytes
+        self.input.replace(data, min_size)
+        self.listener.buffered_bytes += len(data)
+
+    def _schedule_turn(self) -> None:
+        """Continues to parse in the next iteration of the event loop, after other connections."""
+        if not self.turn_scheduled:
+            self.turn_scheduled = True
+            self.listener.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self.turn_scheduled = False
+        if self.closing:
+            self._resume_discarding()
+            return
+        if self.input.may_hold_request():
+            self._parse()
+        self._update_flow_control()
 
-    def _must_wait(self, rejecting: bool) -> bool:
+    def _must_wait(self) -> bool:
         """Returns whether earlier responses must be written before more requests are handled."""
-        if rejecting:
-            return False
         self.pipeline_full = len(self.pending) >= MAX_PIPELINED_REQUESTS
         return self.pipeline_full or self.write_blocked_at is not None
 
@@ -230,7 +310,10 @@
         self._append(pending)
         self.closing = protocol.close_requested
         if isinstance(call, bytes):
-            pending.complete(call)
+            if rejecting and len(call) > MAX_REJECTION_BYTES:
+                pending.respond(REJECTED_RESPONSE)
+            else:
+                pending.complete(call)
             return
         self.consecutive_malformed = 0
         if rejecting:
@@ -260,7 +343,8 @@
         pending.complete(self.protocol.encode_error(reason))
 
     def _append(self, pending: PendingResponse) -> None:
-        if not self.pending:
+        if not self.busy:
+            self.busy = True
             self.listener.idle_connections.remove(self)
         self.pending.append(pending)
 
@@ -269,14 +353,14 @@
         self.listener.log_malformed(reason)
         self.close_reason = close_reason
         self.closing = True
-        self._drop_unparsed()
+        self._drop_input()
         pending = PendingResponse(self)
         self._append(pending)
         pending.complete(self.protocol.encode_error(reason, fatal=True))
 
-    def _drop_unparsed(self) -> None:
-        self.listener.buffered_bytes -= len(self.unparsed)
-        self.unparsed = b""
+    def _drop_input(self) -> None:
+        self.listener.buffered_bytes -= self.input.size
+        self.input.replace(b"", 1)
 
     def _discard(self, size: int) -> None:
         """Discards input of a closing connection.
@@ -285,28 +369,45 @@
         error.
         """
         self.discarded_bytes += size
-        if (
-            self.discarded_bytes > MAX_DISCARDED_BYTES
-            and self.transport is not None
-            and not self.reading_paused
-        ):
+        if self.transport is None or self.reading_paused:
+            return
+        if size >= LARGE_READ_BYTES or self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.reading_paused = True
             self.transport.pause_reading()
             self.listener.hangup_watcher.watch(self)
+            self._schedule_turn()
+
+    def _resume_discarding(self) -> None:
+        """Reads more input of a closing connection, unless it has sent too much of it."""
+        if self.transport is None or not self.reading_paused:
+            return
+        if self.discarded_bytes <= MAX_DISCARDED_BYTES:
+            self.reading_paused = False
+            self.transport.resume_reading()
+            self.listener.hangup_watcher.unwatch(self)
 
     # Responses
 
     def flush(self) -> None:
         """Writes the completed responses that precede the first pending one."""
-        if self.parsing:
+        if self.parsing and self.responses.completed_bytes < MAX_BATCHED_BYTES:
             return
-        ready = []
-        while self.pending and self.pending[0].data is not None:
-            ready.append(self.pending.popleft().data or b"")
-        if self.transport is None or not ready:
+        data = self.responses.take_ready()
+        if data and self.transport is not None:
+            self.transport.write(data)
+            self.responses.written(data)
+            self._update_unsent()
+        if self.listener.unsent_responses.exceed_limit():
+            self.listener.close_largest_responses()
+        if not self.parsing:
+            self._responses_written()
+
+    def _responses_written(self) -> None:
+        """Continues after a write: the connection may be idle, or may parse more requests."""
+        if self.transport is None:
             return
-        self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
-        if not self.pending:
+        if self.busy and not self.pending:
+            self.busy = False
             self.last_used_at = self.listener.clock()
             self.listener.idle_connections.add(self)
             if self.closing:
@@ -319,13 +420,34 @@
             and len(self.pending) <= MAX_PIPELINED_REQUESTS // 2
         ):
             self.pipeline_full = False
-            self.listener.loop.call_soon(self._parse)
+            self._schedule_turn()
+
+    def response_completed(self, data: bytes) -> None:
+        """Counts the bytes of a completed response, and writes it when its turn comes."""
+        self.responses.completed(data)
+        self.flush()
+
+    def _update_unsent(self) -> None:
+        """Updates the size of the write buffer and whether the client reads its responses."""
+        unsent = self.measure_unsent()
+        if unsent > MAX_UNBLOCKED_BYTES and self.write_blocked_at is None:
+            self.write_blocked_at = self.listener.clock()
+            self._update_flow_control()
+
+    def measure_unsent(self) -> int:
+        """Returns the size of the write buffer, and updates the memory of unsent responses."""
+        transport = self.transport
+        size = 0 if transport is None else transport.get_write_buffer_size()
+        if not size:
+            self.responses.all_sent()
+        return size
 
     def _update_flow_control(self) -> None:
-        """Pauses reading while the pipeline is full or the client does not read its responses."""
+        """Pauses reading while parsing has to wait and enough input is buffered."""
         if self.transport is None or self.transport.is_closing() or self.closing:
             return
-        pause = self.pipeline_full or self.write_blocked_at is not None
+        waiting = self.pipeline_full or self.write_blocked_at is not None or self.turn_scheduled
+        pause = waiting and self.input.size >= self.listener.read_ahead_bytes
         if pause is self.reading_paused:
             return
         self.reading_paused = pause
@@ -350,7 +472,7 @@
         This can be the case although no request is open: the client does not read its responses, or
         the parsing of the requests behind a full pipeline is scheduled.
         """
-        complete_unparsed = bool(self.unparsed) and self.partial_since is None
+        complete_unparsed = bool(self.input.size) and self.partial_since is None
         return bool(self.pending) or complete_unparsed or self.write_blocked_at is not None
 
     def close_if_idle(self) -> None:
@@ -361,7 +483,7 @@
         if (
             self.transport is not None
             and not self.pending
-            and not self.unparsed
+            and not self.input.size
             and not self.has_unread_input()
         ):
             self.close_reason = CloseReason.IDLE
@@ -369,9 +491,11 @@
 
     def abort(self, reason: CloseReason) -> None:
         """Closes the connection immediately; unsent responses are dropped."""
-        if self.transport is not None:
+        transport = self.transport
+        if transport is not None:
             self.close_reason = reason
-            self.transport.abort()
+            self.handle_disconnect()
+            transport.abort()
 
     def is_open(self) -> bool:
         """Returns whether the connection is neither closed nor being closed."""
@@ -385,7 +509,7 @@
         """
         self._parse(rejecting=True)
         self.closing = True
-        self._drop_unparsed()
+        self._drop_input()
         if self.transport is not None and not self.transport.is_closing():
             if self.reading_paused:
                 self.reading_paused = False
@@ -420,11 +544,9 @@
         if self.reading_paused:
             self.listener.hangup_watcher.unwatch(self)
         self.transport = None
-        abandoned = self.pending
-        self.pending = deque()
-        self._drop_unparsed()
+        abandoned = self.responses.clear()
+        self._drop_input()
         self.listener.idle_connections.remove(self)
         for pending in abandoned:
-            if pending.data is None:
-                pending.data = b""
-                self.listener.handler.client_disconnected(pending)
+            pending.data = b""
+            self.listener.handler.client_disconnected(pending)
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -18,14 +18,19 @@
 from ingress.transport.pending_response import RequestHandler
 from ingress.transport.sampled_log import SampledLog
 from ingress.transport.stall_detector import StallDetector
+from ingress.transport.unsent_responses import UnsentResponses
 
 log = logging.getLogger(__name__)
 
 BACKLOG: Final = 512  # connections that the system queues until they are accepted
+SOCKET_BUFFER_BYTES: Final = 128 * 1024  # of the system, for each direction of a connection
 ACCEPT_BATCH: Final = 16  # connections accepted per loop iteration; as many places are kept free
 SWEEP_INTERVAL_S: Final = 0.25  # between timeout checks of all connections
 STALL_THRESHOLD_S: Final = 2 * SWEEP_INTERVAL_S  # without a sweep or any read
 ITERATIONS_TO_FIRST_READ: Final = 3  # of the event loop after a connection is attached, at most
+# Input of one connection above which reading pauses while its parsing has to wait.
+MAX_READ_AHEAD_BYTES: Final = 256 * 1024
+READ_AHEAD_DIVISOR: Final = 16  # of the limit on the input of all connections
 LOG_SAMPLING_INTERVAL: Final = 1000  # one in this many repeated events is logged
 
 
@@ -36,7 +41,9 @@
         connections: All connections, including those that are being attached or closed.
         evicted: Connections closed in favour of new ones whose descriptors are not free yet.
         idle_connections: Connections without an open request, in eviction order.
+        unsent_responses: The memory of responses that clients have not taken.
         buffered_bytes: Number of bytes received of incomplete requests, on all connections.
+        read_ahead_bytes: Input of one connection above which reading pauses while parsing waits.
         accepting_paused: Whether new connections wait until another one is closed.
         malformed_requests: Counts malformed requests.
         accept_failures: Counts failed `accept` calls.
@@ -65,6 +72,8 @@
         self.stall_detector = StallDetector(self.loop, clock, STALL_THRESHOLD_S)
         self.buffered_bytes = 0
         self.max_buffered_bytes = max_buffered_bytes
+        self.read_ahead_bytes = min(MAX_READ_AHEAD_BYTES, max_buffered_bytes // READ_AHEAD_DIVISOR)
+        self.unsent_responses = UnsentResponses(max_buffered_bytes // 2)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.attach_tasks: set[asyncio.Task[Any]] = set()
         self.draining = False
@@ -76,6 +85,9 @@
         self.listening_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listening_socket.setblocking(False)
         self.listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted sockets inherit these sizes; by default the system buffers megabytes for each.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self.listening_socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
         self.listening_socket.bind(address)
 
     def open(self) -> None:
@@ -186,10 +198,29 @@
         """Removes a closed connection."""
         if connection in self.connections:
             self.closures[connection.close_reason] += 1
+            connection.responses.released()
         self.connections.discard(connection)
         self.evicted.discard(connection)
         self._resume_accepting()
 
+    def reduce_input(self) -> None:
+        """Releases the largest unparsed inputs until the limit is kept."""
+        while self.buffered_bytes > self.max_buffered_bytes:
+            largest = max(self.connections, key=_input_bytes, default=None)
+            if largest is None or not largest.release_input():
+                return
+
+    def close_largest_responses(self) -> None:
+        """Closes the connections with the most unsent responses until the limit is kept."""
+        for connection in self.connections:
+            if connection.responses.buffered_bytes:
+                connection.measure_unsent()
+        while self.unsent_responses.exceed_limit():
+            largest = max(self.connections, key=_unsent_bytes, default=None)
+            if largest is None or not _unsent_bytes(largest):
+                return
+            largest.abort(CloseReason.RESPONSE_LIMIT)
+
     def log_malformed(self, reason: str) -> None:
         """Counts a malformed request and logs a sample."""
         if self.malformed_requests.record():
@@ -260,3 +291,12 @@
             log.warning("ended the sending side of %d client connections that were not idle", busy)
         for connection in connections:
             connection.half_close()
+
+
+def _unsent_bytes(connection: ClientConnection) -> int:
+    return connection.responses.unsent_bytes()
+
+
+def _input_bytes(connection: ClientConnection) -> tuple[int, float]:
+    """Returns the size of a connection's input, then the time at which it last grew."""
+    return connection.input.size, connection.received_at
--- a/ingress/transport/client_protocol.py
+++ b/ingress/transport/client_protocol.py
@@ -24,9 +24,12 @@
     Attributes:
         close_requested: Whether the client asked to close the connection after the most recently
             decoded request.
+        missing_bytes: After `find_frame_end` returned -1, the number of bytes without which the
+            request can't be complete; at least 1.
     """
 
     close_requested: bool
+    missing_bytes: int
 
     def find_frame_end(self, data: bytes, at: int) -> int:
         """Returns the end of the request that starts at `at`, or -1 if more bytes are needed.
--- a/ingress/transport/close_reason.py
+++ b/ingress/transport/close_reason.py
@@ -24,3 +24,5 @@
     """The rest of a request did not arrive in time."""
     INPUT_LIMIT = "input-limit"
     """The unparsed input of all connections exceeded its limit."""
+    RESPONSE_LIMIT = "response-limit"
+    """The unsent responses of all connections exceeded their limit."""
--- a/ingress/transport/idle_connections.py
+++ b/ingress/transport/idle_connections.py
@@ -70,7 +70,7 @@
     for connection in islice(queue, MAX_CANDIDATES):
         if now - connection.last_used_at < min_idle_time_s or connection.owes_response():
             continue
-        has_input = connection.unparsed or connection.has_unread_input()
+        has_input = connection.input.size > 0 or connection.has_unread_input()
         if connection.transport is None or not has_input:
             return connection
         if first is None:
--- a/ingress/transport/pending_response.py
+++ b/ingress/transport/pending_response.py
@@ -57,4 +57,4 @@
         """Sets the bytes of the response unless they are set, and writes completed responses."""
         if self.data is None:
             self.data = data
-            self.connection.flush()
+            self.connection.response_completed(data)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -139,6 +139,8 @@
     """Unread input exceeds the read limit, so the event loop never reports the disconnection."""
     monkeypatch.setattr(client_connection, "MAX_PIPELINED_REQUESTS", 4)
     monkeypatch.setattr(client_connection, "PROGRESS_TIMEOUT_S", 1e9)
+    if why == "choked":
+        monkeypatch.setattr(client_connection, "MAX_UNBLOCKED_BYTES", -1)
 
     async def body() -> None:
         async with serving(config()) as (ingress, address):
@@ -151,6 +153,7 @@
             if why == "full":
                 caller.writer.write(b"".join(command(f"{n:040}") for n in range(4000)))
             else:
+                ingress.clients.read_ahead_bytes = 1
                 client.pause_writing()  # as if the client did not read its responses
                 caller.writer.write(command("second"))
             await until(lambda: client.reading_paused)
