Serve connections with much input round-robin, 16 turns per loop iteration

Under 600 clients that send at full speed and read nothing, another client got no answer within 2.5 s in one of four runs beside other tests: each iteration of the event loop read up to 256 KB from every connection. A connection with more than one turn's input now waits in a queue with the others, and pauses reading after a large read; 16 of them are served per iteration.

--- a/ingress/compilation/__init__.py
+++ b/ingress/compilation/__init__.py
@@ -72,6 +72,7 @@
     "ingress.transport.pending_response",
     "ingress.transport.input_buffer",
     "ingress.transport.response_queue",
+    "ingress.transport.turn_queue",
     "ingress.transport.unsent_responses",
     "ingress.transport.idle_connections",
     "ingress.transport.hangup_watcher",
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -71,7 +71,8 @@
         closing: Whether further requests are ignored; the connection closes after the pending
             responses.
         pipeline_full: Whether parsing has stopped at `MAX_PIPELINED_REQUESTS`.
-        turn_scheduled: Whether parsing continues in the next iteration of the event loop.
+        turn_scheduled: Whether parsing continues in a later iteration of the event loop.
+        yielding: Whether reading is paused until the next turn, after a large read.
         reading_paused: Whether reading from the socket is paused.
         parsing: Whether received bytes are being parsed; responses are then collected for one
             write.
@@ -97,6 +98,7 @@
         "transport",
         "turn_scheduled",
         "write_blocked_at",
+        "yielding",
     )
 
     def __init__(self, listener: ClientListener, sock: socket.socket) -> None:
@@ -120,6 +122,7 @@
         self.reading_paused = False
         self.parsing = False
         self.turn_scheduled = False
+        self.yielding = False
 
     @property
     def pending(self) -> deque[PendingResponse]:
@@ -157,6 +160,7 @@
             self._parse()
         if len(data) >= LARGE_READ_BYTES:
             # The event loop would read from this connection again before it serves others.
+            self.yielding = True
             self._schedule_turn()
         self._update_flow_control()
         if listener.buffered_bytes > listener.max_buffered_bytes:
@@ -265,13 +269,15 @@
         self.listener.buffered_bytes += len(data)
 
     def _schedule_turn(self) -> None:
-        """Continues to parse in the next iteration of the event loop, after other connections."""
+        """Continues in a later iteration of the event loop, after other connections."""
         if not self.turn_scheduled:
             self.turn_scheduled = True
-            self.listener.loop.call_soon(self._take_turn)
+            self.listener.turns.add(self)
 
-    def _take_turn(self) -> None:
+    def take_turn(self) -> None:
+        """Parses the next requests, and reads further input."""
         self.turn_scheduled = False
+        self.yielding = False
         if self.closing:
             self._resume_discarding()
             return
@@ -447,7 +453,7 @@
         if self.transport is None or self.transport.is_closing() or self.closing:
             return
         waiting = self.pipeline_full or self.write_blocked_at is not None or self.turn_scheduled
-        pause = waiting and self.input.size >= self.listener.read_ahead_bytes
+        pause = self.yielding or (waiting and self.input.size >= self.listener.read_ahead_bytes)
         if pause is self.reading_paused:
             return
         self.reading_paused = pause
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -18,6 +18,7 @@
 from ingress.transport.pending_response import RequestHandler
 from ingress.transport.sampled_log import SampledLog
 from ingress.transport.stall_detector import StallDetector
+from ingress.transport.turn_queue import TurnQueue
 from ingress.transport.unsent_responses import UnsentResponses
 
 log = logging.getLogger(__name__)
@@ -41,6 +42,7 @@
         connections: All connections, including those that are being attached or closed.
         evicted: Connections closed in favour of new ones whose descriptors are not free yet.
         idle_connections: Connections without an open request, in eviction order.
+        turns: The connections that have more input than one turn handles.
         unsent_responses: The memory of responses that clients have not taken.
         buffered_bytes: Number of bytes received of incomplete requests, on all connections.
         read_ahead_bytes: Input of one connection above which reading pauses while parsing waits.
@@ -68,6 +70,7 @@
         self.connections: set[ClientConnection] = set()
         self.evicted: set[ClientConnection] = set()
         self.idle_connections = IdleConnections()
+        self.turns = TurnQueue(self.loop)
         self.hangup_watcher = HangupWatcher(self.loop)
         self.stall_detector = StallDetector(self.loop, clock, STALL_THRESHOLD_S)
         self.buffered_bytes = 0
