Limit the number of customers whose state the policy keeps

Cause: the policy kept about 1.3 KB for each name for at least 60 s, unreported_customers kept the state of dropped customers for good, and late_calls kept those of counter calls that timed out.

A new customer replaces one whose state equals a new one, with full slices and nothing to report, so no quota and no ceiling is regained; otherwise its request is rejected.

--- a/ingress/application.py
+++ b/ingress/application.py
@@ -37,6 +37,9 @@
 
 log = logging.getLogger(__name__)
 
+# The policy keeps state for as many customers as one of the buffers holds units of this size.
+BUFFER_BYTES_PER_CUSTOMER = 1024
+
 
 class Application:
     """One instance, from its configuration to the end of its graceful shutdown.
@@ -62,7 +65,8 @@
         self.translator = _make_translator(config, operator)
         settings = config.settings if self.translator is None else self.translator.settings
         timers = TimerWheel(self.loop, self.clock)
-        self.gateway = Gateway(settings, config.seed)
+        max_customers = config.max_buffered_bytes // BUFFER_BYTES_PER_CUSTOMER
+        self.gateway = Gateway(settings, config.seed, max_customers)
         self.exchange = Exchange(
             self.gateway,
             settings,
@@ -267,6 +271,8 @@
             "input": sum(listener.buffered_bytes for listener in self.listeners),
             "unsent": sum(listener.unsent_responses.open_bytes for listener in self.listeners),
             "customers": len(self.gateway.admission.customers),
+            "max_customers": self.gateway.admission.table.max_customers,
+            "turned_away": self.gateway.admission.table.turned_away,
         }
 
 
--- a/ingress/compilation/__init__.py
+++ b/ingress/compilation/__init__.py
@@ -32,6 +32,7 @@
     "ingress.policy.consistency_reporting",
     "ingress.policy.counter_throttle",
     "ingress.policy.customer",
+    "ingress.policy.customer_table",
     "ingress.policy.load_balancer",
     "ingress.policy.load_shedding",
     "ingress.policy.optimistic_admission",
--- a/ingress/policy/admission.py
+++ b/ingress/policy/admission.py
@@ -12,6 +12,7 @@
 from ingress.policy.attempt_dispatcher import AttemptDispatcher
 from ingress.policy.counter_throttle import CounterThrottle
 from ingress.policy.customer import Customer
+from ingress.policy.customer_table import DEFAULT_MAX_CUSTOMERS, CustomerTable
 from ingress.policy.events import CounterReply, RequestReceived
 from ingress.policy.load_shedding import LoadShedder
 from ingress.policy.optimistic_admission import OptimisticAdmission
@@ -37,7 +38,7 @@
     """Decides on requests when they arrive and when counter replies arrive.
 
     Attributes:
-        customers: All customers by id, in order of their first request.
+        table: The customers.
         started_at: Time in seconds at which this gateway handled its first event.
     """
 
@@ -51,6 +52,7 @@
         quota_reporter: QuotaReporter,
         requests: RequestTable,
         dispatcher: AttemptDispatcher,
+        max_customers: int = DEFAULT_MAX_CUSTOMERS,
     ) -> None:
         self._settings = settings
         self._cost = cost
@@ -63,13 +65,17 @@
         self._classes = {c.name: c for c in settings.classes}
         self._plans = {p.name: p for p in settings.plans}
         self._first_time_left: dict[str, float] = {}  # of first requests, by class
-        self.customers: dict[str, Customer] = {}
+        self.table = CustomerTable(quota_reporter, max_customers)
         self.started_at = 0.0
 
+    @property
+    def customers(self) -> dict[str, Customer]:
+        """All customers by id."""
+        return self.table.by_id
+
     def drop_idle_customers(self, now: float) -> None:
         """Removes idle customers whose state equals that of a new customer."""
-        for name in [k for k, customer in self.customers.items() if customer.is_idle(now)]:
-            del self.customers[name]
+        self.table.drop_idle(now)
 
     def request_received(self, now: float, event: RequestReceived) -> None:
         """Decides on a request, or queues it until the counter replies.
@@ -80,6 +86,9 @@
         plan = self._plans[event.plan]
         request_class = self._classes[event.request_class]
         customer = self._customer_of(now, event, plan)
+        if customer is None:
+            self._requests.reject_unopened(event.request_id)
+            return
         self._quota_reporter.consistency.limit_share(now, customer)
         request = RequestState(event, request_class, plan, customer, now)
         self._requests.add(request)
@@ -105,14 +114,18 @@
         else:
             self._decide(now, request)
 
-    def _customer_of(self, now: float, event: RequestReceived, plan: Plan) -> Customer:
-        customer = self.customers.get(event.customer)
+    def _customer_of(self, now: float, event: RequestReceived, plan: Plan) -> Customer | None:
+        """Returns the customer of a request, or None if there is no room for a new one."""
+        customer = self.table.by_id.get(event.customer)
         if customer is not None and (
             customer.gateway_count != max(1, event.gateway_count)
             or customer.first_gateway != event.first_gateway
         ):
             customer.resize(now, event)
-        if customer is None or customer.plan is not plan:
+        if customer is not None and customer.plan is plan:
+            self.table.touch(customer, now)
+            return customer
+        if customer is not None or self.table.has_room(now):
             customer = Customer(
                 event,
                 plan,
@@ -121,8 +134,7 @@
                 self._quota_reporter.enabled,
                 self._settings.max_units,
             )
-            self.customers[event.customer] = customer
-        customer.last_request_at = now
+            self.table.add(customer)
         return customer
 
     def _is_past_objective(self, event: RequestReceived, request_class: RequestClass) -> bool:
--- a/ingress/policy/customer.py
+++ b/ingress/policy/customer.py
@@ -136,11 +136,15 @@
 
     def is_idle(self, now: float) -> bool:
         """Returns whether the customer can be dropped: a new one with full buckets is the same."""
+        return now - self.last_request_at > CUSTOMER_IDLE_S and self.equals_new_customer(now)
+
+    def equals_new_customer(self, now: float) -> bool:
+        """Returns whether nothing is in progress and the slices are full, as those of a new one."""
         return (
-            now - self.last_request_at > CUSTOMER_IDLE_S
-            and not self.in_flight
+            not self.in_flight
             and not self.awaiting_reply
             and not self.awaiting_next_call
+            and self.counter_called_at <= NEVER
             and self.slice.has_tokens(now, self.slice.capacity)
             and self.ceiling.has_tokens(now, self.ceiling.capacity)
         )
--- a/ingress/policy/gateway.py
+++ b/ingress/policy/gateway.py
@@ -14,6 +14,7 @@
 from ingress.policy.attempt_dispatcher import AttemptDispatcher
 from ingress.policy.counter_throttle import CounterThrottle
 from ingress.policy.customer import CUSTOMER_IDLE_S
+from ingress.policy.customer_table import DEFAULT_MAX_CUSTOMERS
 from ingress.policy.events import (
     AttemptEnded,
     BackendsChanged,
@@ -56,8 +57,16 @@
         actions: The actions of the last event, even if handling it raised an error.
     """
 
-    def __init__(self, settings: Settings, seed: int) -> None:
-        """Creates all components; `seed` determines every random number."""
+    def __init__(
+        self, settings: Settings, seed: int, max_customers: int = DEFAULT_MAX_CUSTOMERS
+    ) -> None:
+        """Creates all components.
+
+        Args:
+            settings: The configuration of this gateway.
+            seed: Determines every random number.
+            max_customers: The number of customers whose state fits into the memory.
+        """
         self.settings = settings
         self.rng = random.Random(seed)
         self._pending = PendingActions()
@@ -93,6 +102,7 @@
             self.quota_reporter,
             self.requests,
             self.dispatcher,
+            max_customers,
         )
 
     def handle(self, now: float, event: Event) -> list[Action]:
--- a/ingress/policy/quota_reporting.py
+++ b/ingress/policy/quota_reporting.py
@@ -25,6 +25,7 @@
 MIN_REPORTS_PER_TICK: Final = 4
 """Reports sent even to an overloaded counter, since its replies show when it has recovered."""
 MAX_REPORTS_PER_TICK: Final = 24
+MAX_LATE_CALLS: Final = 512
 UNREACHABLE_REPORT_COST: Final = MAX_REPORTS_PER_TICK // 2
 """Number of reports that one to an unreachable count uses up: others may be unreachable too."""
 
@@ -212,10 +213,16 @@
         if event.outcome is Outcome.TIMEOUT:
             customer.unreported_units -= call.units
             customer.ledger.call_timed_out(call.units)
-            self.late_calls[event.key] = TimedOutCall(customer, now - event.latency)
+            self._add_late_call(event.key, TimedOutCall(customer, now - event.latency))
         if customer.unreported_units:  # the next call reports them
             self.unreported_customers[customer.customer_id] = customer
 
+    def _add_late_call(self, key: int, call: TimedOutCall) -> None:
+        """Remembers a call whose reply may still arrive; replaces the oldest one if necessary."""
+        if len(self.late_calls) >= MAX_LATE_CALLS:
+            del self.late_calls[next(iter(self.late_calls))]
+        self.late_calls[key] = call
+
     def _record_total(self, now: float, event: CounterReply, call: CounterCall) -> None:
         customer = call.customer
         self._throttle.answered_at = now
@@ -291,7 +298,11 @@
         if not self.enabled:
             return
         call_share = self._throttle.call_share
-        due = [c for c in self.unreported_customers.values() if self._is_due(c, call_share)]
+        due = [
+            customer
+            for customer in self.unreported_customers.values()
+            if customer.counter_called_at <= NEVER and self._exceeds_share(customer, call_share)
+        ]
         due.sort(key=lambda customer: customer.ledger.last_total_at)
         remaining = max(MIN_REPORTS_PER_TICK, int(MAX_REPORTS_PER_TICK * call_share))
         for customer in due:
@@ -300,12 +311,18 @@
             if remaining <= 0:
                 break
 
-    def _is_due(self, customer: Customer, call_share: float) -> bool:
+    def is_due(self, customer: Customer) -> bool:
+        """Returns whether the customer's use has to be reported before its state may be dropped."""
+        return self.enabled and self._exceeds_share(customer, 1.0)
+
+    def forget(self, customer: Customer) -> None:
+        """Drops a customer's unreported use, which is too little to be reported on its own."""
+        if self.unreported_customers.get(customer.customer_id) is customer:
+            del self.unreported_customers[customer.customer_id]
+
+    def _exceeds_share(self, customer: Customer, call_share: float) -> bool:
         factor = 1 if customer.plan.ceiling_rate else 1 + (1 - call_share)
-        return (
-            abs(customer.unreported_units) > factor * customer.plan.burst * REPORT_BURST_SHARE
-            and customer.counter_called_at <= NEVER
-        )
+        return abs(customer.unreported_units) > factor * customer.plan.burst * REPORT_BURST_SHARE
 
     def _returnable_units(self, customer: Customer) -> float:
         """Returns the units that others may have returned, after rejections, since the total."""
--- a/ingress/policy/request_table.py
+++ b/ingress/policy/request_table.py
@@ -44,6 +44,10 @@
         else:
             self._actions.append(FailRequest(request.request_id))
 
+    def reject_unopened(self, request_id: str) -> None:
+        """Rejects a request that was not added to the table."""
+        self._actions.append(RejectRequest(request_id))
+
     def _retry_after(self, request: RequestState) -> float:
         """Returns the seconds in which the whole quota refills by the request's units.
 
