Reject commands with very many fields, and idempotency keys of unlimited length

Callers of one instance got no answer for 3 s while 600 clients sent commands of 60 KB with some 9,000 short fields (trial on a scratch client; the test with pauses between the commands passed before). Cause: the decoder split all fields into strings before it checked them, over 100 times the memory of the bytes and milliseconds for each command. HTTP heads were limited to 64 fields already. Commands are limited to 64 fields now, counted before they are split, and idempotency keys to 256 characters, since the tables of keys outlive the request. Two tests fail without the checks.

--- a/ingress/core/call_limits.py
+++ b/ingress/core/call_limits.py
@@ -22,6 +22,8 @@
 RETRY_FIELD: Final = "r"
 
 DECIMAL: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+MAX_KEY_LENGTH: Final = 256
+"""Characters of an idempotency key, which is remembered longer than its request."""
 MAX_DIGITS: Final = 9
 MAX_TIMEOUT_DEADLINES: Final = 2
 """Longest accepted timeout, in deadlines of the request's class.
@@ -94,6 +96,9 @@
         if semantics is RetrySemantics.IDEMPOTENCY_KEY and not fields.get(IDEMPOTENCY_KEY_FIELD):
             name = field_names.get(IDEMPOTENCY_KEY_FIELD, IDEMPOTENCY_KEY_FIELD)
             raise InvalidCallError(f"{name} is missing")
+        if len(fields.get(IDEMPOTENCY_KEY_FIELD, "")) > MAX_KEY_LENGTH:
+            name = field_names.get(IDEMPOTENCY_KEY_FIELD, IDEMPOTENCY_KEY_FIELD)
+            raise InvalidCallError(f"{name} is longer than {MAX_KEY_LENGTH} characters")
         return request_class
 
     def _read_units(self, fields: Mapping[str, str], field_names: Mapping[str, str]) -> float:
--- a/ingress/resp/command_decoder.py
+++ b/ingress/resp/command_decoder.py
@@ -22,6 +22,8 @@
 """Verb, customer, request id and fields."""
 COMMAND_WORDS_WITH_BODY: Final = 5
 MAX_BODY_BYTES: Final = 64 * 1024
+MAX_FIELDS: Final = 64
+"""Names with values in one command; they take far more memory and time than their bytes."""
 CUSTOMER: Final = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")
 """16 hexadecimal digits of a number below 2^33."""
 REQUEST_ID: Final = re.compile(rb"[!-~]{1,128}")
@@ -101,6 +103,8 @@
             raise InvalidCallError("the customer is not a number of 16 hex digits")
         if not REQUEST_ID.fullmatch(words[2]):
             raise InvalidCallError("no id")
+        if words[3].count(b",") >= MAX_FIELDS:
+            raise InvalidCallError("too many names and values")
         try:
             pairs = [pair.split("=", 1) for pair in words[3].decode("ascii").split(",")]
             fields = dict(pairs)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,7 +9,10 @@
 
 import pytest
 
+from ingress.core.call_limits import MAX_KEY_LENGTH, CallLimits
+from ingress.core.calls import InvalidCallError
 from ingress.resp.client_protocol import make_client_protocol
+from ingress.resp.command_decoder import MAX_FIELDS
 from tests.peers import Address, Caller, backend, command, config, resp, run
 from tests.support.front_ends import FRONT_ENDS
 from tests.support.processes import LEAST_MEMORY_MB, ROOT, Instance, limited_instance
@@ -125,3 +128,20 @@
     assert protocol.words == []
     assert protocol.find_frame_end(data, 0) == len(data)
     assert len(protocol.words) == 3
+
+
+def test_rejects_a_command_with_very_many_fields_before_it_decodes_them() -> None:
+    """Guards against decoding that takes a hundred times the time and memory of the bytes."""
+    decoder = make_client_protocol(config().settings)().commands
+    words = [b"API.READ", b"%016x" % 7, b"r1", b"c=read,t=basic,d=1000" + b",a=" * MAX_FIELDS]
+    with pytest.raises(InvalidCallError, match="too many"):
+        decoder.decode(b"API.READ", words)
+
+
+def test_rejects_an_idempotency_key_of_unlimited_length() -> None:
+    """Guards against tables of keys whose size depends on what clients send."""
+    limits = CallLimits(config().settings)
+    fields = {"c": "order", "t": "basic", "d": "1000", "k": "k" * MAX_KEY_LENGTH}
+    assert limits.read(fields, is_write=True)
+    with pytest.raises(InvalidCallError, match="longer than"):
+        limits.read(fields | {"k": fields["k"] + "k"}, is_write=True)
