Start no attempt for a client that may have left, and run no id again after that

Both are in one change because both need the client's presence at the end of a request.

Cause 1: the end of a client's sending is queued behind its unread input. While the ingress had paused reading, or was held up, it forwarded and retried requests for clients that had closed up to seconds before. POLLRDHUP shows an end only once it has arrived, and it can't arrive while the client's own buffer is full of earlier requests. Now the exchange asks for the client's presence before each attempt, and the pool before it writes one that had to wait for a connection: a client counts as connected if the socket shows no end, and all its input was read within the last 50 ms. After a large read, the rest is read first; beyond the read-ahead requests are rejected.

Cause 2: the id was free as soon as its client disconnected, although the attempt in flight may run. Such ids are remembered for 60 s, one for each 256 bytes of a buffer, and a request with one gets an error.

The state machine of the exchange allowed any id that was not open; it now requires an error for one that may have run.

--- a/ingress/compilation/__init__.py
+++ b/ingress/compilation/__init__.py
@@ -48,6 +48,7 @@
     "ingress.policy.token_bucket",
     "ingress.core.calls",
     "ingress.core.clock",
+    "ingress.core.departed_ids",
     "ingress.core.exchange",
     "ingress.core.open_request",
     "ingress.core.ports",
--- a/ingress/components/handover_upstream.py
+++ b/ingress/components/handover_upstream.py
@@ -17,7 +17,7 @@
 from ingress.core.calls import FAILED_RESPONSE, DuplicateRequestError, Response, ResponseKind
 from ingress.core.clock import Clock
 from ingress.core.exchange import Exchange
-from ingress.core.ports import Attempt, AttemptEndHandler, Upstream
+from ingress.core.ports import Attempt, AttemptEndHandler, ClientPresence, Upstream
 from ingress.handover import record_codec
 from ingress.handover.coordinator import Coordinator
 from ingress.handover.decision import CoordinatorSettings, Decision, Verdict
@@ -65,6 +65,10 @@
         """Counts the response."""
         self.takeovers[TAKEOVER_COUNTS[response.kind]] += 1
 
+    def presence(self) -> ClientPresence:
+        """Returns that the response is awaited: no client can disconnect."""
+        return ClientPresence.CONNECTED
+
 
 def _attempt_id(attempt: Attempt) -> AttemptId:
     return attempt.request_key, attempt.number
--- a/ingress/core/exchange.py
+++ b/ingress/core/exchange.py
@@ -6,6 +6,7 @@
 from collections import Counter as Tally
 from collections import deque
 from collections.abc import Mapping
+from typing import Final
 
 from ingress.core.calls import (
     FAILED_RESPONSE,
@@ -16,9 +17,11 @@
     ResponseKind,
 )
 from ingress.core.clock import Clock
+from ingress.core.departed_ids import DepartedIds
 from ingress.core.open_request import FORCED_RESPONSE_MARGIN_S, OpenRequest, policy_timeout
 from ingress.core.ports import (
     Attempt,
+    ClientPresence,
     Counter,
     Downstream,
     PlacementTracker,
@@ -55,6 +58,9 @@
 
 log = logging.getLogger(__name__)
 
+# Ids of departed clients are kept as long as one of the buffers holds units of this size.
+BUFFER_BYTES_PER_DEPARTED_ID: Final = 256
+
 
 class Exchange:
     """Holds the open requests of all clients; the policy makes all decisions.
@@ -69,6 +75,7 @@
             share one memory of keys.
         open_requests: The open requests, by the exchange's id for each.
         client_request_ids: The clients' ids of the requests that have no response yet.
+        departed_ids: The clients' ids of requests that may have run for a client that has left.
         attempts: The attempts in flight, by the request's key and the attempt's number.
         buffered_bytes: Bytes held by the open requests.
         request_count: The number of requests opened since the start.
@@ -103,6 +110,7 @@
         self.placement: PlacementTracker | None = None
         self.open_requests: dict[str, OpenRequest] = {}
         self.client_request_ids: set[bytes] = set()
+        self.departed_ids = DepartedIds(max_buffered_bytes // BUFFER_BYTES_PER_DEPARTED_ID)
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.buffered_bytes = 0
         self.request_count = 0
@@ -130,11 +138,15 @@
                 paused.
 
         Raises:
-            DuplicateRequestError: An open request has the same client request id.
+            DuplicateRequestError: An open request has the same client request id, or one that may
+                have run although its client has disconnected.
         """
         if call.client_request_id in self.client_request_ids:
             self.rejections[RejectionReason.DUPLICATE_ID] += 1
             raise DuplicateRequestError("the id belongs to an open request")
+        if self.departed_ids.contains(call.client_request_id, self.clock()):
+            self.rejections[RejectionReason.DUPLICATE_ID] += 1
+            raise DuplicateRequestError("the id belongs to a request that may have run")
         time_left = arrived_at + call.timeout - self.clock()
         time_for_policy = policy_timeout(call.timeout, time_left)
         reason = self._rejection_reason(time_for_policy)
@@ -185,9 +197,15 @@
         """Closes the open request of a client that has disconnected, if it has one."""
         request = self.open_requests.get(downstream.request_key)
         if request is not None and not request.answered:
+            self._remember_departed(request)
             self._close(request)
             self.feed(ClientDisconnected(request.key))
 
+    def _remember_departed(self, request: OpenRequest) -> None:
+        """Remembers the id of a request that may have run, so that it does not run again."""
+        if request.may_have_run():
+            self.departed_ids.add(request.call.client_request_id, self.clock())
+
     def reject_new_requests(self) -> None:
         """Rejects all later requests, since the process ends before they can be forwarded."""
         self.rejecting_all = True
@@ -396,6 +414,11 @@
             finished = request is None or request.answered
             self._feed_superseded(action, number, finished)
             return
+        presence = request.downstream.presence()
+        if presence is not ClientPresence.CONNECTED:
+            self._end_unattended(request, presence)
+            self._feed_superseded(action, number, True)
+            return
         if request.attempt_in_flight is not None:
             # A request has at most one attempt in flight.
             self.upstream.cancel(request.attempt_in_flight)
@@ -404,6 +427,7 @@
             deadline = min(deadline, now + action.timeout)
         attempt = Attempt(request.key, number, action.backend, now, deadline, request.call)
         request.attempt_in_flight = attempt
+        attempt.is_awaited = request.is_awaited
         attempt.write_by = request.write_by(
             deadline, self.deduplication_windows.get(request.call.request_class, 0.0)
         )
@@ -413,6 +437,18 @@
         self.attempt_count += 1
         self.upstream.start(attempt)
 
+    def _end_unattended(self, request: OpenRequest, presence: ClientPresence) -> None:
+        """Ends a request whose client does not surely wait for its response."""
+        if request.attempt_in_flight is not None:
+            self.upstream.cancel(request.attempt_in_flight)
+        if presence is ClientPresence.GONE:
+            self.rejections[RejectionReason.CLIENT_GONE] += 1
+            self._remember_departed(request)
+            self._close(request)
+            return
+        self.rejections[RejectionReason.CLIENT_UNKNOWN] += 1
+        self._answer(request, FAILED_RESPONSE if request.may_have_run() else REJECTED_RESPONSE)
+
     def _feed_superseded(self, action: StartAttempt, number: int, finished: bool) -> None:
         superseded = Outcome.SUPERSEDED
         self.feed(
--- a/ingress/core/open_request.py
+++ b/ingress/core/open_request.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from ingress.core.calls import Call
-from ingress.core.ports import Attempt, Downstream, TimerHandle
+from ingress.core.ports import Attempt, ClientPresence, Downstream, TimerHandle
 from ingress.policy.events import RequestReceived
 from ingress.policy.settings import MAX_PROCESS_PAUSE_S
 
@@ -98,6 +98,16 @@
         last_write_at = self.possibly_ran_at + deduplication_window - DEDUPLICATION_MARGIN_S
         return min(deadline, last_write_at)
 
+    def is_awaited(self) -> bool:
+        """Returns whether the client surely still waits for the response."""
+        return self.downstream.presence() is ClientPresence.CONNECTED
+
+    def may_have_run(self) -> bool:
+        """Returns whether a backend may have run the request."""
+        attempt = self.attempt_in_flight
+        written = attempt is not None and attempt.connection is not None
+        return written or self.possibly_ran_at is not None
+
     def describe_attempts(self, now: float) -> str:
         """Returns a description of the request's attempts for the log."""
         attempt = self.attempt_in_flight
--- a/ingress/core/ports.py
+++ b/ingress/core/ports.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Any, Protocol
 
 from ingress.core.calls import Call, Response
@@ -14,6 +15,17 @@
 from ingress.policy.events import Backend, Event, Outcome
 
 
+class ClientPresence(Enum):
+    """Whether the client of a call may still wait for the response."""
+
+    CONNECTED = auto()
+    """It had not closed its connection when its input was last read as a whole."""
+    UNKNOWN = auto()
+    """It may have closed its connection behind input that is not read yet."""
+    GONE = auto()
+    """It has closed its connection."""
+
+
 class Downstream(Protocol):
     """The client's side of one call.
 
@@ -27,6 +39,9 @@
     def respond(self, response: Response) -> None:
         """Sends the final response; further responses are dropped."""
 
+    def presence(self) -> ClientPresence:
+        """Returns whether the client still waits; no attempt starts unless it surely does."""
+
 
 class Policy(Protocol):
     """Makes the decisions: a `Gateway`, or a stub in tests.
@@ -59,6 +74,8 @@
         connection: The connection that carries the attempt, from its write to its end; used by the
             upstream only.
         timer: A timer used by the upstream only.
+        is_awaited: Returns whether the client surely still waits; the upstream asks before it
+            writes an attempt that had to wait for a connection. None if no client waits.
         on_written: A function that the upstream calls once the whole attempt has been handed to the
             operating system, if set.
     """
@@ -70,6 +87,7 @@
         "deadline",
         "ended",
         "final_response",
+        "is_awaited",
         "number",
         "on_written",
         "request_key",
@@ -98,6 +116,7 @@
         self.final_response: Response | None = None
         self.connection: Any = None
         self.timer: TimerHandle | None = None
+        self.is_awaited: Callable[[], bool] | None = None
         self.on_written: Callable[[Attempt], None] | None = None
 
 
--- a/ingress/core/rejection.py
+++ b/ingress/core/rejection.py
@@ -1,4 +1,4 @@
-"""Reasons for which the exchange rejects a request before the policy decides on it."""
+"""Reasons for which the exchange ends a request without a decision of the policy."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class RejectionReason(Enum):
-    """Why a request was rejected without a decision; the values are reported in the counts."""
+    """Why a request was not forwarded; the values are reported in the counts."""
 
     SHUTDOWN = "shutdown"
     """The process ends before the request can be forwarded."""
@@ -20,3 +20,7 @@
     """An earlier attempt with the same idempotency key may still run elsewhere."""
     DUPLICATE_ID = "duplicate-id"
     """The client's request id belongs to another request."""
+    CLIENT_GONE = "client-gone"
+    """The client closed its connection before an attempt started."""
+    CLIENT_UNKNOWN = "client-unknown"
+    """The client may have closed its connection behind input that is not read yet."""
--- a/ingress/transport/backend_pool.py
+++ b/ingress/transport/backend_pool.py
@@ -166,6 +166,9 @@
         if self._is_drained(endpoint):
             self.finish(attempt, Outcome.CONNECT_FAILED)
             return
+        if not may_wait and not _is_awaited(attempt):
+            self.finish(attempt, Outcome.SUPERSEDED)
+            return
         connection = self._take_idle(endpoint)
         if connection is not None:
             self._write(connection, attempt)
@@ -295,6 +298,9 @@
             # replaced.
             connection.close()
             self.finish(attempt, Outcome.CONNECT_FAILED)
+        elif not _is_awaited(attempt):
+            self.release(connection)
+            self.finish(attempt, Outcome.SUPERSEDED)
         else:
             self._write(connection, attempt)
 
@@ -385,3 +391,8 @@
         """Counts an unexpected exception raised by a codec, and logs a sample."""
         if self.codec_faults.record():
             log.error("codec fault %d", self.codec_faults.count, exc_info=error)
+
+
+def _is_awaited(attempt: Attempt) -> bool:
+    """Returns whether a client still waits for an attempt, which had to wait for a connection."""
+    return attempt.is_awaited is None or attempt.is_awaited()
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Final, cast
 
 from ingress.core.calls import REJECTED_RESPONSE, DuplicateRequestError, InvalidCallError
+from ingress.core.ports import ClientPresence
 from ingress.transport.client_protocol import MalformedFrameError
 from ingress.transport.close_reason import CloseReason
 from ingress.transport.input_buffer import InputBuffer
@@ -36,6 +37,11 @@
 # Longer than PROGRESS_TIMEOUT_S, since a new connection costs both sides more than an idle one.
 IDLE_TIMEOUT_S: Final = 5.0
 LINGER_TIME_S: Final = 1.0  # for a client to read its last error while its input is discarded
+# For which a client counts as connected after all its input was read.  No attempt may start more
+# than 0.1 s after a client has closed.
+PRESENCE_TIMEOUT_S: Final = 0.05
+PRESENCE_EVENTS: Final = select.POLLIN | select.POLLRDHUP
+HANGUP_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # For the first request on a connection that is accepted while the listener closes.
 FIRST_REQUEST_GRACE_S: Final = 0.2
 
@@ -68,6 +74,8 @@
         partial_since: Arrival time of the first byte of a partial request, or None.
         write_blocked_at: Time since which the client has not read its responses, or None.
         close_reason: Why the connection ends; meaningful once it is closed.
+        drained_at: When all input that had arrived was read.
+        poll: Polls the socket for unread input and for the end of the client's sending.
         closing: Whether further requests are ignored; the connection closes after the pending
             responses.
         pipeline_full: Whether parsing has stopped at `MAX_PIPELINED_REQUESTS`.
@@ -84,12 +92,14 @@
         "closing",
         "consecutive_malformed",
         "discarded_bytes",
+        "drained_at",
         "input",
         "last_used_at",
         "listener",
         "parsing",
         "partial_since",
         "pipeline_full",
+        "poll",
         "protocol",
         "reading_paused",
         "received_at",
@@ -115,6 +125,9 @@
         self.write_blocked_at: float | None = None
         self.consecutive_malformed = 0
         self.discarded_bytes = 0
+        self.drained_at = now
+        self.poll = select.poll()
+        self.poll.register(sock, PRESENCE_EVENTS)
         self.pipeline_full = False
         self.busy = False
         self.close_reason = CloseReason.CLIENT
@@ -156,12 +169,14 @@
         self.received_at = listener.stall_detector.arrival_time()
         listener.buffered_bytes += len(data)
         self.input.append(data)
-        if self.input.may_hold_request() and not self.turn_scheduled:
-            self._parse()
         if len(data) >= LARGE_READ_BYTES:
             # The event loop would read from this connection again before it serves others.
             self.yielding = True
             self._schedule_turn()
+        else:
+            self.drained_at = listener.clock()
+            if self.input.may_hold_request() and not self.turn_scheduled:
+                self._parse()
         self._update_flow_control()
         if listener.buffered_bytes > listener.max_buffered_bytes:
             listener.reduce_input()
@@ -281,10 +296,20 @@
         if self.closing:
             self._resume_discarding()
             return
-        if self.input.may_hold_request():
+        if self.input.may_hold_request() and not self._reads_more_first():
             self._parse()
         self._update_flow_control()
 
+    def _reads_more_first(self) -> bool:
+        """Returns whether more input is read before requests are handled.
+
+        The client of a request may have closed the connection behind input that is not read yet.
+        """
+        return (
+            self.input.size < self.listener.read_ahead_bytes
+            and self.presence() is ClientPresence.UNKNOWN
+        )
+
     def _must_wait(self) -> bool:
         """Returns whether earlier responses must be written before more requests are handled."""
         self.pipeline_full = len(self.pending) >= MAX_PIPELINED_REQUESTS
@@ -468,9 +493,26 @@
 
     def has_unread_input(self) -> bool:
         """Returns whether the socket has unread bytes or an unread end of the connection."""
-        poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        return bool(poll.poll(0))
+        return bool(self.poll.poll(0))
+
+    def presence(self) -> ClientPresence:
+        """Returns whether the client still waits, as far as the socket shows.
+
+        The end of the client's sending is behind its unread input, part of which may still be in
+        the client's own buffer. So the client is known to wait only if all input was read recently.
+        """
+        if self.transport is None:
+            return ClientPresence.GONE
+        events = 0
+        for _, events in self.poll.poll(0):
+            if events & HANGUP_EVENTS:
+                return ClientPresence.GONE
+        now = self.listener.clock()
+        if not events:
+            self.drained_at = now
+        elif now - self.drained_at > PRESENCE_TIMEOUT_S:
+            return ClientPresence.UNKNOWN
+        return ClientPresence.CONNECTED
 
     def owes_response(self) -> bool:
         """Returns whether a response is not written yet, or complete requests may be unparsed.
--- a/ingress/transport/pending_response.py
+++ b/ingress/transport/pending_response.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ingress.core.calls import FAILED_RESPONSE, Call, Response
+from ingress.core.ports import ClientPresence
 
 if TYPE_CHECKING:
     from ingress.transport.client_connection import ClientConnection
@@ -53,6 +54,10 @@
             data = protocol.encode_response(self.call, FAILED_RESPONSE)
         self.complete(data)
 
+    def presence(self) -> ClientPresence:
+        """Returns whether the client still waits for this response."""
+        return self.connection.presence()
+
     def complete(self, data: bytes) -> None:
         """Sets the bytes of the response unless they are set, and writes completed responses."""
         if self.data is None:
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -268,6 +268,9 @@
     def respond(self, response: Any) -> None:
         self.script.lines.append(f"{self.number}: {response!r}")
 
+    def presence(self) -> Any:
+        return self.script.form.core_ports.ClientPresence.CONNECTED
+
 
 @settings(max_examples=60, deadline=None)
 @given(
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,8 +12,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from ingress.core.calls import Call, DuplicateRequestError, Response, ResponseKind
+from ingress.core.departed_ids import RETENTION_S
 from ingress.core.exchange import Exchange
-from ingress.core.ports import Attempt
+from ingress.core.ports import Attempt, ClientPresence
 from ingress.policy.actions import (
     Action,
     CancelAttempt,
@@ -95,6 +96,9 @@
         if self.disconnects:
             self.machine.exchange.client_disconnected(self)
 
+    def presence(self) -> ClientPresence:
+        return ClientPresence.GONE if self.has_disconnected else ClientPresence.CONNECTED
+
 
 class DrawnPolicy:
     """Returns the drawn actions for the next event, in any order, and may raise in between."""
@@ -158,6 +162,7 @@
         )
         self.exchange.upstream = self
         self.clients: list[Client] = []
+        self.departed: dict[bytes, float] = {}  # ids that may have run, until when
         self.in_flight: list[Attempt] = []
         self.outcome_at_once: Outcome | None = None
         self.withdrawals = 0
@@ -245,6 +250,10 @@
             for request in self.exchange.open_requests.values()
             if not request.answered
         }
+        # An id whose request may have run for a client that has left must not run again.
+        names_in_use |= {
+            request_id for request_id, end in self.departed.items() if self.timers.now < end
+        }
         self.clients.append(client)
         try:
             self.exchange.request(client, call, self.timers.now)
@@ -266,6 +275,9 @@
         self.policy.plan = list(plan)
         client = self.clients[pick % len(self.clients)]
         client.has_disconnected = client.has_disconnected or not client.responses
+        request = self.exchange.open_requests.get(client.request_key)
+        if request is not None and not request.answered and request.may_have_run():
+            self.departed[request.call.client_request_id] = self.timers.now + RETENTION_S
         self.exchange.client_disconnected(client)
 
     @rule(seconds=st.floats(0.001, 3.0), plan=plans)
