Remove closed connections from the queue of turns

Cause: closed connections stayed in the queue of turns, which gained more of them per loop iteration than it served. They are removed when they are closed.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -592,6 +592,7 @@
         if self.reading_paused:
             self.listener.hangup_watcher.unwatch(self)
         self.transport = None
+        self.listener.turns.remove(self)
         abandoned = self.responses.clear()
         self._drop_input()
         self.listener.idle_connections.remove(self)
--- a/ingress/transport/turn_queue.py
+++ b/ingress/transport/turn_queue.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -23,21 +22,28 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
-        self.waiting: deque[ClientConnection] = deque()
+        self.waiting: dict[ClientConnection, None] = {}
         self.scheduled = False
 
     def add(self, connection: ClientConnection) -> None:
         """Adds a connection, whose turn comes in the next iteration of the event loop or later."""
-        self.waiting.append(connection)
+        self.waiting[connection] = None
         if not self.scheduled:
             self.scheduled = True
             self.loop.call_soon(self._serve)
 
+    def remove(self, connection: ClientConnection) -> None:
+        """Removes a connection that is closed."""
+        self.waiting.pop(connection, None)
+
     def _serve(self) -> None:
         self.scheduled = False
-        turns = min(MAX_TURNS_PER_ITERATION, len(self.waiting))
-        for _ in range(turns):
-            self.waiting.popleft().take_turn()
+        for _ in range(min(MAX_TURNS_PER_ITERATION, len(self.waiting))):
+            connection = next(iter(self.waiting), None)
+            if connection is None:
+                return  # the other connections were closed during these turns
+            del self.waiting[connection]
+            connection.take_turn()
         if self.waiting and not self.scheduled:
             self.scheduled = True
             self.loop.call_soon(self._serve)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -5,7 +5,10 @@
 import asyncio
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 
@@ -13,6 +16,8 @@
 from ingress.core.calls import InvalidCallError
 from ingress.resp.client_protocol import make_client_protocol
 from ingress.resp.command_decoder import MAX_FIELDS
+from ingress.transport.client_connection import ClientConnection
+from ingress.transport.turn_queue import MAX_TURNS_PER_ITERATION, TurnQueue
 from tests.peers import Address, Caller, backend, command, config, resp, run
 from tests.support.front_ends import FRONT_ENDS
 from tests.support.processes import LEAST_MEMORY_MB, ROOT, Instance, limited_instance
@@ -145,3 +150,33 @@
     assert limits.read(fields, is_write=True)
     with pytest.raises(InvalidCallError, match="longer than"):
         limits.read(fields | {"k": fields["k"] + "k"}, is_write=True)
+
+
+class WaitingConnection:
+    """A connection that records its turns."""
+
+    def __init__(self, number: int, served: list[int]) -> None:
+        self.number = number
+        self.served = served
+
+    def take_turn(self) -> None:
+        self.served.append(self.number)
+
+
+@pytest.mark.interpreted
+def test_a_closed_connection_leaves_the_queue_of_turns() -> None:
+    """Guards against closed connections that stay in memory while others keep the queue full."""
+    served: list[int] = []
+    connections = [
+        WaitingConnection(number, served) for number in range(3 * MAX_TURNS_PER_ITERATION)
+    ]
+    callbacks: list[Callable[[], None]] = []
+    loop = SimpleNamespace(call_soon=callbacks.append)
+    turns = TurnQueue(cast("asyncio.AbstractEventLoop", loop))
+    for connection in connections:
+        turns.add(cast("ClientConnection", connection))
+    for connection in connections[: 2 * MAX_TURNS_PER_ITERATION]:
+        turns.remove(cast("ClientConnection", connection))
+    callbacks.pop()()
+    assert not turns.waiting
+    assert served == list(range(2 * MAX_TURNS_PER_ITERATION, count))
