Keep the group of an attempt when its backend returns in another group

Cause: an attempt read the zone and cell of its backend from the shared state of the backend, which an update of the endpoint list replaces; the retry then went to the new group, which does not know the key. Each attempt now keeps the entry of the list that it was started with. test_a_retry_stays_in_the_group_in_which_the_earlier_attempt_ran failed before and passes now.

--- a/ingress/policy/request_state.py
+++ b/ingress/policy/request_state.py
@@ -90,23 +90,25 @@
             arrives_at < earlier.sent_at + window
             and (
                 scope is DeduplicationScope.ALL
-                or (
-                    scope is DeduplicationScope.ZONE and backend.zone == earlier.target.backend.zone
-                )
-                or (
-                    scope is DeduplicationScope.CELL and backend.cell == earlier.target.backend.cell
-                )
+                or (scope is DeduplicationScope.ZONE and backend.zone == earlier.backend.zone)
+                or (scope is DeduplicationScope.CELL and backend.cell == earlier.backend.cell)
             )
             for earlier in self.attempts_possibly_run
         )
 
 
 class SentAttempt:
-    """One attempt of a request, its target backend and its start time in seconds."""
+    """One attempt of a request, its target backend and its start time in seconds.
 
-    __slots__ = ("request", "sent_at", "target")
+    Attributes:
+        backend: The backend's entry in the endpoint list when the attempt started; it may return in
+            another group of idempotency keys.
+    """
+
+    __slots__ = ("backend", "request", "sent_at", "target")
 
     def __init__(self, request: RequestState, target: BackendState, sent_at: float) -> None:
         self.request = request
         self.target = target
+        self.backend = target.backend
         self.sent_at = sent_at
