--- a/ingress/membership/failure_detector.py
+++ b/ingress/membership/failure_detector.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Final, NamedTuple, Protocol
 
@@ -40,21 +40,30 @@
 
 @dataclass(slots=True)
 class Probe:
-    """A ping without an ack yet. `nacks` counts helpers that received no ack either."""
+    """A ping without an ack yet.
+
+    `nacks` counts helpers that received no ack either; `helpers` are the names of those asked.
+    """
 
     target: str
     started_at: float
     is_indirect: bool = False
     nacks: int = 0
+    helpers: set[str] = field(default_factory=set)
+
+    def accepts_ack_of(self, sender: str) -> bool:
+        """Returns whether the sender is the target, or pinged it on behalf of this member."""
+        return sender == self.target or sender in self.helpers
 
 
 @dataclass(slots=True)
 class Relay:
-    """A ping on behalf of a requester, with the requester's own sequence number."""
+    """A ping of a target on behalf of a requester, with the requester's own sequence number."""
 
     sequence_number: int
     requester: Address
     deadline: float
+    target: str
 
 
 @dataclass(slots=True)
@@ -161,6 +170,7 @@
     def _probe_indirectly(self, sequence_number: int, target: str) -> list[OutgoingMessage]:
         out = []
         helpers = self.table.random_alive(self.rng, self.settings.indirect_probes, excluded=target)
+        self.probes[sequence_number].helpers.update(helper.name for helper in helpers)
         for helper in helpers:
             request = self.make_message(MessageKind.PING_REQ, sequence_number, None, target)
             out.append(OutgoingMessage(helper.address, request))
@@ -180,16 +190,25 @@
             return []
         sequence_number = self._next_sequence_number()
         deadline = now + self.settings.probe_timeout_s
-        self.relays[sequence_number] = Relay(request.sequence_number, requester, deadline)
+        self.relays[sequence_number] = Relay(
+            request.sequence_number, requester, deadline, target.name
+        )
         ping = self.make_message(MessageKind.PING, sequence_number, target)
         return [OutgoingMessage(target.address, ping)]
 
-    def handle_ack(self, sequence_number: int) -> list[OutgoingMessage]:
-        """Completes a probe, or returns the ack for the member that requested the ping."""
-        if relay := self.relays.pop(sequence_number, None):
+    def handle_ack(self, sequence_number: int, sender: str) -> list[OutgoingMessage]:
+        """Completes a probe, or returns the ack for the member that requested the ping.
+
+        Another member may have started at the address of a failed one; its ack proves nothing.
+        """
+        relay = self.relays.get(sequence_number)
+        if relay is not None and relay.target == sender:
+            del self.relays[sequence_number]
             ack = self.make_message(MessageKind.ACK, relay.sequence_number)
             return [OutgoingMessage(relay.requester, ack)]
-        if self.probes.pop(sequence_number, None) is not None:
+        probe = self.probes.get(sequence_number)
+        if probe is not None and probe.accepts_ack_of(sender):
+            del self.probes[sequence_number]
             self.adjust_local_health(-1)
         return []
 
--- a/ingress/membership/swim.py
+++ b/ingress/membership/swim.py
@@ -168,7 +168,7 @@
             case MessageKind.PING_REQ:
                 return self.detector.relay_ping(now, source, message)
             case MessageKind.ACK:
-                return self.detector.handle_ack(message.sequence_number)
+                return self.detector.handle_ack(message.sequence_number, message.sender)
             case MessageKind.NACK:
                 self.detector.handle_nack(message.sequence_number)
             case MessageKind.PULL_STATE:
