Send nothing for a backend to a newer process at its address

Cause 1: the end of a vanished backend is reported seconds after a new one at its address; both entries stayed ready, and the requests for the old one, with its key group and its full weight, went to the cold process. The older of two entries with one address, by start time, now counts as removed. Entries with equal start times are unchanged. Cause 2: an attempt that waited for a connection was written to whatever process the entry named by then. It now fails as never run if the process was replaced since its start.

--- a/ingress/application.py
+++ b/ingress/application.py
@@ -12,6 +12,7 @@
 from ingress.core.exchange import Exchange
 from ingress.core.ports import Upstream
 from ingress.core.timer_wheel import TimerWheel
+from ingress.platform.address_owners import AddressOwners
 from ingress.platform.config import Address, Config
 from ingress.platform.counter_client import CounterClient
 from ingress.platform.counter_metrics import counter_report
@@ -82,6 +83,7 @@
         self.exchange.counter = self.counter
         self.listeners = self._make_listeners(settings, operator)
         self.clients = self.listeners[0]
+        self.address_owners = AddressOwners()
         self.discovery = DiscoveryWatch(config, self.update_endpoints)
         self.reloader = ConfigurationReloader(config, self.discovery, self.counter)
         self.serving = asyncio.Event()
@@ -214,6 +216,7 @@
 
     def update_endpoints(self, kind: EndpointListKind, endpoints: EndpointList) -> None:
         """Passes a list to backends and policy, translated if protocol versions are configured."""
+        endpoints = self.address_owners.apply(kind is not EndpointListKind.UPDATE, endpoints)
         if self.translator is not None:
             complete = kind is not EndpointListKind.UPDATE
             endpoints = self.translator.translate(endpoints, complete, self.clock())
--- a/ingress/core/ports.py
+++ b/ingress/core/ports.py
@@ -73,6 +73,8 @@
             chooses it.
         connection: The connection that carries the attempt, from its write to its end; used by the
             upstream only.
+        incarnation: The backend's process for which the attempt was started; used by the upstream
+            only.
         timer: A timer used by the upstream only.
         is_awaited: Returns whether the client surely still waits; the upstream asks before it
             writes an attempt that had to wait for a connection. None if no client waits.
@@ -87,6 +89,7 @@
         "deadline",
         "ended",
         "final_response",
+        "incarnation",
         "is_awaited",
         "number",
         "on_written",
@@ -115,6 +118,7 @@
         self.ended = False
         self.final_response: Response | None = None
         self.connection: Any = None
+        self.incarnation = 0
         self.timer: TimerHandle | None = None
         self.is_awaited: Callable[[], bool] | None = None
         self.on_written: Callable[[Attempt], None] | None = None
--- a/ingress/transport/backend_pool.py
+++ b/ingress/transport/backend_pool.py
@@ -152,6 +152,7 @@
         if endpoint is None or time_left <= 0 or self._is_drained(endpoint):
             self.finish(attempt, Outcome.CONNECT_FAILED)
             return
+        attempt.incarnation = endpoint.incarnation
         attempt.timer = self.timers.call_later(time_left, self._time_out, attempt)
         self._assign(endpoint, attempt, True)
 
@@ -163,7 +164,7 @@
         """
         if attempt.ended:
             return
-        if self._is_drained(endpoint):
+        if self._is_drained(endpoint) or attempt.incarnation != endpoint.incarnation:
             self.finish(attempt, Outcome.CONNECT_FAILED)
             return
         if not may_wait and not _is_awaited(attempt):
@@ -293,7 +294,11 @@
             self.finish(attempt, Outcome.CONNECT_FAILED)
         elif attempt.ended:
             self.release(connection)
-        elif self._is_drained(connection.endpoint) or not connection.is_current():
+        elif (
+            self._is_drained(connection.endpoint)
+            or not connection.is_current()
+            or attempt.incarnation != connection.incarnation
+        ):
             # While the connection was being opened, the grace period ended or the backend was
             # replaced.
             connection.close()
