--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -167,9 +167,8 @@
 def test_a_closed_connection_leaves_the_queue_of_turns() -> None:
     """Guards against closed connections that stay in memory while others keep the queue full."""
     served: list[int] = []
-    connections = [
-        WaitingConnection(number, served) for number in range(3 * MAX_TURNS_PER_ITERATION)
-    ]
+    count = 3 * MAX_TURNS_PER_ITERATION
+    connections = [WaitingConnection(number, served) for number in range(count)]
     callbacks: list[Callable[[], None]] = []
     loop = SimpleNamespace(call_soon=callbacks.append)
     turns = TurnQueue(cast("asyncio.AbstractEventLoop", loop))
