Client connections: skip the accounting of responses that are sent at once

Cause: each response updated the total of unsent bytes four times, and each read took a second clock reading. Change: only a write that leaves bytes is counted, flow control returns early, and the reading of the stall detector is used.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -174,7 +174,7 @@
             self.yielding = True
             self._schedule_turn()
         else:
-            self.drained_at = listener.clock()
+            self.drained_at = listener.stall_detector.last_active_at
             if self.input.may_hold_request() and not self.turn_scheduled:
                 self._parse()
         self._update_flow_control()
@@ -426,8 +426,9 @@
         data = self.responses.take_ready()
         if data and self.transport is not None:
             self.transport.write(data)
-            self.responses.written(data)
-            self._update_unsent()
+            if self.responses.buffered_bytes or self.transport.get_write_buffer_size():
+                self.responses.written(data)
+                self._update_unsent()
         if self.listener.unsent_responses.exceed_limit():
             self.listener.close_largest_responses()
         if not self.parsing:
@@ -477,7 +478,9 @@
         """Pauses reading while parsing has to wait and enough input is buffered."""
         if self.transport is None or self.transport.is_closing() or self.closing:
             return
-        waiting = self.pipeline_full or self.write_blocked_at is not None or self.turn_scheduled
+        waiting = self.turn_scheduled or self.pipeline_full or self.write_blocked_at is not None
+        if not waiting and not self.reading_paused:
+            return
         pause = self.yielding or (waiting and self.input.size >= self.listener.read_ahead_bytes)
         if pause is self.reading_paused:
             return
