Scan an incomplete reply of a backend again only when it may be complete

Found by looking for the parsing from the start, mended for clients, in related code: a RESP backend that writes its reply byte by byte caused a copy and a scan of all received bytes for each of them. The codecs of both RESP versions now keep the pieces and the number of bytes that the reply needs at least; HTTP responses were parsed incrementally before.

--- a/ingress/resp/backend_protocol.py
+++ b/ingress/resp/backend_protocol.py
@@ -12,6 +12,7 @@
 from ingress.resp.frames import CRLF, ArrayLimits, find_array_end
 from ingress.transport.backend_protocol import AttemptResult, MalformedResponseError
 from ingress.transport.client_protocol import MalformedFrameError
+from ingress.transport.input_buffer import InputBuffer
 from ingress.wire_settings import LOAD_FIELDS
 
 MAX_VALUE_BYTES: Final = 1024 * 1024
@@ -39,7 +40,7 @@
     __slots__ = ("buffer",)
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = InputBuffer()
 
     def encode_request(self, call: Call, time_left: float) -> bytes:
         """Returns the call as a command whose timeout is `time_left` seconds.
@@ -47,7 +48,7 @@
         Raises:
             ValueError: This protocol can't express the call.
         """
-        self.buffer = b""
+        self.buffer.replace(b"", 1)
         return encode_command(call, time_left)
 
     def receive_data(self, data: bytes) -> AttemptResult | None:
@@ -56,19 +57,23 @@
         Raises:
             MalformedResponseError: The bytes are not a valid reply, or exceed a limit.
         """
-        received = self.buffer + data if self.buffer else data
-        self.buffer = received
+        buffer = self.buffer
+        buffer.append(data)
+        if not buffer.may_be_complete():
+            return None
+        received = buffer.joined()
         try:
             items: list[bytes | None] = []
-            end = find_reply_end(received, items)
+            end = _scan_reply(received, items)
             if end < 0:
+                buffer.min_size = len(received) - end
                 return None
             result = self._decode_reply(received[:end], items)
         except MalformedFrameError as error:
             raise MalformedResponseError(str(error)) from None
         # Bytes after the reply would be taken for the next reply.
         result.reusable = end == len(received)
-        self.buffer = b""
+        buffer.replace(b"", 1)
         return result
 
     def receive_eof(self) -> AttemptResult | None:
@@ -101,8 +106,13 @@
     Raises:
         MalformedFrameError: The bytes are neither, or exceed a limit.
     """
+    return max(-1, _scan_reply(data, items))
+
+
+def _scan_reply(data: bytes, items: list[bytes | None]) -> int:
+    """Returns the end offset of a reply, or minus the number of bytes that it needs at least."""
     if data[:1] != b"-":
-        return max(-1, find_array_end(data, 0, REPLY_LIMITS, items))
+        return find_array_end(data, 0, REPLY_LIMITS, items)
     end = data.find(CRLF, 0, MAX_ERROR_LINE_BYTES)
     if end < 0 and len(data) >= MAX_ERROR_LINE_BYTES:
         raise MalformedFrameError("an endless line")
--- a/ingress/resp/resp3_backend_protocol.py
+++ b/ingress/resp/resp3_backend_protocol.py
@@ -24,9 +24,11 @@
     PUSH_MARK,
     SIMPLE_ERROR_MARK,
     find_frame_end,
+    scan_frame,
 )
 from ingress.transport.backend_protocol import AttemptResult, MalformedResponseError
 from ingress.transport.client_protocol import MalformedFrameError
+from ingress.transport.input_buffer import InputBuffer
 from ingress.wire_settings import LOAD_FIELDS
 
 MAX_PUSH_FRAMES: Final = 64
@@ -41,7 +43,8 @@
         max_value_bytes: The longest value that the clients' protocol versions can express.
         reasons: Number of replies without a usable value, by reason, and of push frames.
         reader: Decodes complete frames.
-        buffer: Received bytes that are not decoded yet.
+        received: Received bytes that are not decoded yet.
+        buffer: The same while they are decoded, without the frames that are done.
         hello_sent: Whether HELLO 3 was sent on this connection.
         hello_pending: Whether the reply to HELLO 3 is outstanding.
         push_count: Number of push frames since the last command was sent.
@@ -51,6 +54,7 @@
         self.max_value_bytes = max_value_bytes
         self.reasons = reasons
         self.reader = hiredis.Reader()
+        self.received = InputBuffer()
         self.buffer = b""
         self.hello_sent = False
         self.hello_pending = False
@@ -78,12 +82,17 @@
         Raises:
             MalformedResponseError: The bytes are not a valid reply, or exceed a limit.
         """
-        self.buffer += data
+        self.received.append(data)
+        if not self.received.may_be_complete():
+            return None
+        self.buffer = self.received.joined()
         result: AttemptResult | None = None
         try:
             while result is None:
-                end = find_frame_end(self.buffer, 0, MAX_VALUE_BYTES, MAX_REPLY_BYTES)
+                end = scan_frame(self.buffer, 0, MAX_VALUE_BYTES, MAX_REPLY_BYTES)
                 if end < 0:
+                    self.received.replace(self.buffer, len(self.buffer) - end)
+                    self.buffer = b""
                     return None
                 frame = self.buffer[:end]
                 self.buffer = self.buffer[end:]
@@ -101,6 +110,7 @@
         # Any other bytes would be taken for the next reply.
         result.reusable = not self.buffer
         self.buffer = b""
+        self.received.replace(b"", 1)
         return result
 
     def _drop_push_frames(self) -> None:
--- a/ingress/resp/resp3_frames.py
+++ b/ingress/resp/resp3_frames.py
@@ -36,6 +36,18 @@
 def find_frame_end(data: bytes, start: int, max_blob_bytes: int, max_frame_bytes: int) -> int:
     """Returns the end offset of the frame at `start`, or -1 if it is incomplete.
 
+    Raises:
+        MalformedFrameError: The bytes at `start` are not a valid frame, or exceed a limit.
+    """
+    return max(-1, scan_frame(data, start, max_blob_bytes, max_frame_bytes))
+
+
+def scan_frame(data: bytes, start: int, max_blob_bytes: int, max_frame_bytes: int) -> int:
+    """Returns the end offset of the frame at `start`.
+
+    If the frame is incomplete, returns minus the number of bytes without which it can't be
+    complete, at least 1.
+
     Raises:
         MalformedFrameError: The bytes at `start` are not a valid frame, or exceed a limit.
     """
@@ -70,7 +82,7 @@
                 raise MalformedFrameError("no frame of RESP3")
         if frames + missing > MAX_NESTED_FRAMES or at - start > max_frame_bytes:
             raise MalformedFrameError("a frame too large")
-    return at if at <= len(data) else -1
+    return at if at <= len(data) else len(data) - at
 
 
 def _check_partial_line(data: bytes, at: int) -> None:
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -175,7 +175,7 @@
             self._schedule_turn()
         else:
             self.drained_at = listener.stall_detector.last_active_at
-            if self.input.may_hold_request() and not self.turn_scheduled:
+            if self.input.may_be_complete() and not self.turn_scheduled:
                 self._parse()
         self._update_flow_control()
         if listener.buffered_bytes > listener.max_buffered_bytes:
@@ -296,7 +296,7 @@
         if self.closing:
             self._resume_discarding()
             return
-        if self.input.may_hold_request() and not self._reads_more_first():
+        if self.input.may_be_complete() and not self._reads_more_first():
             self._parse()
         self._update_flow_control()
 
--- a/ingress/transport/input_buffer.py
+++ b/ingress/transport/input_buffer.py
@@ -1,4 +1,4 @@
-"""The received bytes of one client connection that are not parsed yet."""
+"""The received bytes of one connection that are not parsed yet."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
     Attributes:
         size: The number of bytes.
-        min_size: The number of bytes below which they can't hold a complete request.
+        min_size: The number of bytes below which they can't hold a complete message.
     """
 
     __slots__ = ("min_size", "pieces", "size")
@@ -29,8 +29,8 @@
         if len(self.pieces) > MAX_PIECES:
             self.pieces = [b"".join(self.pieces)]
 
-    def may_hold_request(self) -> bool:
-        """Returns whether the bytes can hold a complete request, so that parsing may succeed."""
+    def may_be_complete(self) -> bool:
+        """Returns whether the bytes can hold a complete message, so that parsing may succeed."""
         return self.size >= self.min_size
 
     def joined(self) -> bytes:
@@ -44,7 +44,7 @@
 
         Args:
             data: The bytes that remain.
-            min_size: The number of bytes below which they can't hold a complete request.
+            min_size: The number of bytes below which they can't hold a complete message.
         """
         self.pieces = [data] if data else []
         self.size = len(data)
--- a/tests/test_resp_backend_protocol.py
+++ b/tests/test_resp_backend_protocol.py
@@ -9,7 +9,7 @@
 
 from ingress.core.calls import Call
 from ingress.policy.events import Outcome
-from ingress.resp.backend_protocol import decode_load_report, find_reply_end
+from ingress.resp.backend_protocol import RespBackendProtocol, decode_load_report, find_reply_end
 from ingress.resp.command_encoder import encode_command
 from tests.peers import backend, run, until, value
 from tests.support.pools import READ_COMMAND, PoolHarness
@@ -171,3 +171,15 @@
 )
 def test_load_report_omits_invalid_numbers(text: bytes | None, load: Mapping[str, float]) -> None:
     assert decode_load_report(text) == load
+
+
+def test_an_incomplete_reply_is_not_scanned_again_before_it_may_be_complete() -> None:
+    """Guards against a scan of the whole reply for each byte of a backend that writes slowly."""
+    reply = value(b"x" * 1000)
+    protocol = RespBackendProtocol()
+    assert protocol.receive_data(reply[:20]) is None
+    assert protocol.buffer.min_size > 1000
+    result = protocol.receive_data(reply[20:])
+    assert result is not None
+    assert result.value == b"x" * 1000
+    assert not protocol.buffer.size
