Keep an idle customer while the counter has not received its use

Idle customers were dropped after 60 s together with their unreported use, also when it was due to be reported, which happens if the counter is away for that long; before that use was still reported later. Callers could then exceed a quota or a ceiling by what one gateway had sent. Change: a customer whose use is due is not dropped. Result: the new test fails without the change and passes with it.

--- a/ingress/policy/customer_table.py
+++ b/ingress/policy/customer_table.py
@@ -59,8 +59,9 @@
 
     def drop_idle(self, now: float) -> None:
         """Removes idle customers whose state equals that of a new customer."""
-        for customer in [c for c in self.by_id.values() if c.is_idle(now)]:
-            self._drop(customer)
+        for customer in list(self.by_id.values()):
+            if customer.is_idle(now) and not self._quota_reporter.is_due(customer):
+                self._drop(customer)
 
     def _drop(self, customer: Customer) -> None:
         del self.by_id[customer.customer_id]
--- a/tests/test_customer_table.py
+++ b/tests/test_customer_table.py
@@ -5,7 +5,9 @@
 from dataclasses import replace
 
 from ingress.policy.actions import RejectRequest
+from ingress.policy.customer import CUSTOMER_IDLE_S
 from ingress.policy.events import Outcome
+from ingress.policy.quota_estimate import NEVER
 from tests.conftest import SETTINGS, GatewayDriver, final_responses, sends
 
 MAX_CUSTOMERS = 4
@@ -53,3 +55,22 @@
     [answer] = driver.receive_request(customer="one too many")
     assert isinstance(answer, RejectRequest)
     assert driver.gateway.admission.table.turned_away == 1
+
+
+def test_an_idle_customer_keeps_the_use_that_the_counter_has_not_received() -> None:
+    """Guards against use that is never reported, and counts against no ceiling, after an outage."""
+    driver = limited_driver(counter_available=True)
+    driver.receive_request(customer="reported late")
+    customer = driver.gateway.admission.customers["reported late"]
+    customer.unreported_units = customer.plan.burst
+    driver.gateway.quota_reporter.mark_unreported(customer)
+    driver.now += 2 * CUSTOMER_IDLE_S
+    customer.counter_called_at = NEVER
+    customer.in_flight = 0
+    assert customer.is_idle(driver.now)
+    driver.gateway.admission.drop_idle_customers(driver.now)
+    assert driver.gateway.quota_reporter.unreported_customers == {"reported late": customer}
+    customer.unreported_units = 0.0
+    driver.gateway.admission.drop_idle_customers(driver.now)
+    assert not driver.gateway.admission.customers
+    assert not driver.gateway.quota_reporter.unreported_customers
