--- a/ingress/application.py
+++ b/ingress/application.py
@@ -38,7 +38,7 @@
 
 log = logging.getLogger(__name__)
 
-# The policy keeps state for as many customers as one of the buffers holds units of this size.
+# The policy keeps the state of one customer for each of these bytes of `max_buffered_bytes`.
 BUFFER_BYTES_PER_CUSTOMER = 1024
 
 
--- a/ingress/core/exchange.py
+++ b/ingress/core/exchange.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import collections
 import logging
-from collections import Counter as Tally
 from collections import deque
 from collections.abc import Mapping
 from typing import Final
@@ -58,7 +58,7 @@
 
 log = logging.getLogger(__name__)
 
-# Ids of departed clients are kept as long as one of the buffers holds units of this size.
+# One id of a departed client is remembered for each of these bytes of the limit on buffered bytes.
 BUFFER_BYTES_PER_DEPARTED_ID: Final = 256
 
 
@@ -118,7 +118,7 @@
         self.pending_events: deque[Event] = deque()
         self.handling = False
         self.rejecting_all = False
-        self.rejections: Tally[RejectionReason] = Tally()
+        self.rejections: collections.Counter[RejectionReason] = collections.Counter()
         self.unsupported_actions: set[str] = set()
         self.deduplication_windows = {
             cls.name: cls.deduplication_window
--- a/ingress/platform/address_owners.py
+++ b/ingress/platform/address_owners.py
@@ -16,8 +16,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Owner:
-    """The process that answers at an address: the backend that started there last."""
+class _ListedBackend:
+    """A backend of the list, and the address at which it listens."""
 
     backend: Backend
     address: Address
@@ -32,8 +32,8 @@
     """
 
     def __init__(self) -> None:
-        self.listed: dict[str, _Owner] = {}
-        self.owners: dict[Address, _Owner] = {}
+        self.listed: dict[str, _ListedBackend] = {}
+        self.owners: dict[Address, _ListedBackend] = {}
 
     def apply(self, complete: bool, endpoints: EndpointList) -> EndpointList:
         """Returns the list with each backend removed whose address a newer one has taken.
@@ -45,9 +45,9 @@
         if complete:
             self.listed.clear()
             self.owners.clear()
-        entries: dict[str, _Owner] = {}
+        entries: dict[str, _ListedBackend] = {}
         for backend in endpoints.backends:
-            entry = _Owner(backend, endpoints.addresses[backend.id])
+            entry = _ListedBackend(backend, endpoints.addresses[backend.id])
             entries[backend.id] = entry
             replaced = self._apply_entry(entry)
             if replaced is not None:
@@ -59,7 +59,7 @@
             {name: entry.address for name, entry in entries.items()},
         )
 
-    def _apply_entry(self, entry: _Owner) -> _Owner | None:
+    def _apply_entry(self, entry: _ListedBackend) -> _ListedBackend | None:
         """Applies one entry; returns the backend that has lost its address, now removed, if any."""
         self._forget(entry.backend.id)
         if entry.backend.readiness is Readiness.REMOVED:
--- a/ingress/resp/command_decoder.py
+++ b/ingress/resp/command_decoder.py
@@ -104,7 +104,7 @@
         if not REQUEST_ID.fullmatch(words[2]):
             raise InvalidCallError("no id")
         if words[3].count(b",") >= MAX_FIELDS:
-            raise InvalidCallError("too many names and values")
+            raise InvalidCallError(f"more than {MAX_FIELDS} names with values")
         try:
             pairs = [pair.split("=", 1) for pair in words[3].decode("ascii").split(",")]
             fields = dict(pairs)
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -429,7 +429,7 @@
             if self.responses.buffered_bytes or self.transport.get_write_buffer_size():
                 self.responses.written(data)
                 self._update_unsent()
-        if self.listener.unsent_responses.exceed_limit():
+        if self.listener.unsent_responses.exceeds_limit():
             self.listener.close_largest_responses()
         if not self.parsing:
             self._responses_written()
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -218,7 +218,7 @@
         for connection in self.connections:
             if connection.responses.buffered_bytes:
                 connection.measure_unsent()
-        while self.unsent_responses.exceed_limit():
+        while self.unsent_responses.exceeds_limit():
             largest = max(self.connections, key=_unsent_bytes, default=None)
             if largest is None or not _unsent_bytes(largest):
                 return
--- a/ingress/transport/turn_queue.py
+++ b/ingress/transport/turn_queue.py
@@ -16,6 +16,7 @@
 
     Attributes:
         waiting: The connections in the order of their turns.
+        scheduled: Whether the event loop will call `_serve` in its next iteration.
     """
 
     __slots__ = ("loop", "scheduled", "waiting")
--- a/ingress/transport/unsent_responses.py
+++ b/ingress/transport/unsent_responses.py
@@ -21,7 +21,7 @@
         self.open_bytes = 0
         self.closing_bytes = 0
 
-    def exceed_limit(self) -> bool:
+    def exceeds_limit(self) -> bool:
         """Returns whether the connection with the most unsent bytes has to be closed."""
         return self.open_bytes > self.max_bytes
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -103,14 +103,15 @@
     path.write_text(text, encoding="utf-8")
     process = _start(arguments, path, directory / "log")
     try:
-        await _wait_until_ready(addresses[0])
+        await wait_until_ready(addresses[0])
         yield Instance(process, addresses)
     finally:
         process.kill()
         process.wait()
 
 
-async def _wait_until_ready(address: Address) -> None:
+async def wait_until_ready(address: Address) -> None:
+    """Waits until an instance answers PING at an address."""
     while True:
         try:
             caller = await Caller.connect(address)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -139,7 +139,7 @@
     """Guards against decoding that takes a hundred times the time and memory of the bytes."""
     decoder = make_client_protocol(config().settings)().commands
     words = [b"API.READ", b"%016x" % 7, b"r1", b"c=read,t=basic,d=1000" + b",a=" * MAX_FIELDS]
-    with pytest.raises(InvalidCallError, match="too many"):
+    with pytest.raises(InvalidCallError, match=f"more than {MAX_FIELDS} names"):
         decoder.decode(b"API.READ", words)
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -33,11 +33,11 @@
     config_text,
     entry,
     read_command,
-    resp,
     run,
     until,
     value,
 )
+from tests.support.processes import wait_until_ready
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -62,14 +62,7 @@
         sys.executable, "-m", "ingress", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)}
     )
     try:
-        while True:
-            try:
-                caller = await Caller.connect(address)
-                break
-            except ConnectionError:
-                await asyncio.sleep(0.01)
-        assert await caller.request(resp(b"PING")) == b"PONG"
-        caller.writer.close()
+        await wait_until_ready(address)
         yield process, address
     finally:
         if process.returncode is None:
