--- a/ingress/compilation/__init__.py
+++ b/ingress/compilation/__init__.py
@@ -74,6 +74,7 @@
     "ingress.transport.pending_response",
     "ingress.transport.input_buffer",
     "ingress.transport.response_queue",
+    "ingress.transport.presence_probe",
     "ingress.transport.turn_queue",
     "ingress.transport.unsent_responses",
     "ingress.transport.idle_connections",
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import select
 import socket
 from collections import deque
 from enum import Enum, auto
@@ -16,6 +15,7 @@
 from ingress.transport.close_reason import CloseReason
 from ingress.transport.input_buffer import InputBuffer
 from ingress.transport.pending_response import PendingResponse
+from ingress.transport.presence_probe import PresenceProbe
 from ingress.transport.response_queue import ResponseQueue
 
 if TYPE_CHECKING:
@@ -37,11 +37,6 @@
 # Longer than PROGRESS_TIMEOUT_S, since a new connection costs both sides more than an idle one.
 IDLE_TIMEOUT_S: Final = 5.0
 LINGER_TIME_S: Final = 1.0  # for a client to read its last error while its input is discarded
-# For which a client counts as connected after all its input was read.  No attempt may start more
-# than 0.1 s after a client has closed.
-PRESENCE_TIMEOUT_S: Final = 0.05
-PRESENCE_EVENTS: Final = select.POLLIN | select.POLLRDHUP
-HANGUP_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # For the first request on a connection that is accepted while the listener closes.
 FIRST_REQUEST_GRACE_S: Final = 0.2
 
@@ -74,8 +69,7 @@
         partial_since: Arrival time of the first byte of a partial request, or None.
         write_blocked_at: Time since which the client has not read its responses, or None.
         close_reason: Why the connection ends; meaningful once it is closed.
-        drained_at: When all input that had arrived was read.
-        poll: Polls the socket for unread input and for the end of the client's sending.
+        probe: Finds out from the socket whether the client still waits.
         closing: Whether further requests are ignored; the connection closes after the pending
             responses.
         pipeline_full: Whether parsing has stopped at `MAX_PIPELINED_REQUESTS`.
@@ -92,14 +86,13 @@
         "closing",
         "consecutive_malformed",
         "discarded_bytes",
-        "drained_at",
         "input",
         "last_used_at",
         "listener",
         "parsing",
         "partial_since",
         "pipeline_full",
-        "poll",
+        "probe",
         "protocol",
         "reading_paused",
         "received_at",
@@ -125,9 +118,7 @@
         self.write_blocked_at: float | None = None
         self.consecutive_malformed = 0
         self.discarded_bytes = 0
-        self.drained_at = now
-        self.poll = select.poll()
-        self.poll.register(sock, PRESENCE_EVENTS)
+        self.probe = PresenceProbe(sock, now)
         self.pipeline_full = False
         self.busy = False
         self.close_reason = CloseReason.CLIENT
@@ -174,7 +165,7 @@
             self.yielding = True
             self._schedule_turn()
         else:
-            self.drained_at = listener.stall_detector.last_active_at
+            self.probe.drained_at = listener.stall_detector.last_active_at
             if self.input.may_be_complete() and not self.turn_scheduled:
                 self._parse()
         self._update_flow_control()
@@ -496,26 +487,13 @@
 
     def has_unread_input(self) -> bool:
         """Returns whether the socket has unread bytes or an unread end of the connection."""
-        return bool(self.poll.poll(0))
+        return self.probe.has_unread_input()
 
     def presence(self) -> ClientPresence:
-        """Returns whether the client still waits, as far as the socket shows.
-
-        The end of the client's sending is behind its unread input, part of which may still be in
-        the client's own buffer. So the client is known to wait only if all input was read recently.
-        """
+        """Returns whether the client still waits for its responses."""
         if self.transport is None:
             return ClientPresence.GONE
-        events = 0
-        for _, events in self.poll.poll(0):
-            if events & HANGUP_EVENTS:
-                return ClientPresence.GONE
-        now = self.listener.clock()
-        if not events:
-            self.drained_at = now
-        elif now - self.drained_at > PRESENCE_TIMEOUT_S:
-            return ClientPresence.UNKNOWN
-        return ClientPresence.CONNECTED
+        return self.probe.presence(self.listener.clock())
 
     def owes_response(self) -> bool:
         """Returns whether a response is not written yet, or complete requests may be unparsed.
