--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -103,6 +103,12 @@
     assert not any(expected in text for text in problems_with("none", faults))
 
 
+def test_a_run_with_a_crowd_of_idle_clients_is_answered_in_time() -> None:
+    """Guards against answers up to 0.2 s late while idle clients fill an ingress."""
+    completed = soak("--seeds", "1", "--first-seed", "58143", "--seconds", "12")
+    assert completed.returncode == 0, completed.stdout
+
+
 def test_a_usage_error_and_an_interrupt_have_their_own_exit_status() -> None:
     assert command.main(["soak", "--seeds", "0"]) == command.USAGE_ERROR
     with subprocess.Popen(
