Timeouts of clients do not count time in which the ingress itself did not read

Cause: `_parse` started the timeout of an incomplete request at the last read. While the pipeline is full, reading is paused, so that read is as old as the pause. A check of the timeouts between that parse and the next turn found the request overdue, although its rest waited in the socket or in the buffer. A stall of the process, and a pause because the client reads late, counted in the same way; responses that the process could not write in a stall counted as not read by the client.

Change: `ActiveClock` leaves out time in which the event loop did not run the check; `IncompleteRequest` starts when parsing finds the request incomplete and again when reading resumes; an overdue request fails only after the bytes that have arrived are parsed; a connection is aborted as not reading only if its socket takes no more bytes. After an error the timeout of the incomplete request ends, so that the error is not repeated at each check while earlier responses are open.

--- a/ingress/compilation/__init__.py
+++ b/ingress/compilation/__init__.py
@@ -80,6 +80,8 @@
     "ingress.transport.idle_connections",
     "ingress.transport.hangup_watcher",
     "ingress.transport.stall_detector",
+    "ingress.transport.active_clock",
+    "ingress.transport.incomplete_request",
     "ingress.transport.sampled_log",
     "ingress.transport.backend_pool",
     "ingress.transport.backend_connection",
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -13,6 +13,7 @@
 from ingress.core.ports import ClientPresence
 from ingress.transport.client_protocol import MalformedFrameError
 from ingress.transport.close_reason import CloseReason
+from ingress.transport.incomplete_request import IncompleteRequest
 from ingress.transport.input_buffer import InputBuffer
 from ingress.transport.pending_response import PendingResponse
 from ingress.transport.presence_probe import PresenceProbe
@@ -64,10 +65,11 @@
         busy: Whether a request is open or its response is not written; else the connection is one
             of the listener's idle connections.
         last_used_at: When the connection was made, when its last open request was answered, or when
-            the client of a closing connection resumed reading; in seconds of the clock.
+            the client of a closing connection resumed reading; in seconds of the active clock.
         input: Received bytes that are an incomplete request or are not parsed yet.
-        partial_since: Arrival time of the first byte of a partial request, or None.
-        write_blocked_at: Time since which the client has not read its responses, or None.
+        incomplete: The timeout of a request that the client has sent in part.
+        write_blocked_at: Time since which the client has not read its responses, in seconds of the
+            active clock, or None.
         close_reason: Why the connection ends; meaningful once it is closed.
         probe: Finds out from the socket whether the client still waits.
         closing: Whether further requests are ignored; the connection closes after the pending
@@ -86,11 +88,11 @@
         "closing",
         "consecutive_malformed",
         "discarded_bytes",
+        "incomplete",
         "input",
         "last_used_at",
         "listener",
         "parsing",
-        "partial_since",
         "pipeline_full",
         "probe",
         "protocol",
@@ -112,9 +114,9 @@
         self.responses = ResponseQueue(listener.unsent_responses)
         self.transport: asyncio.Transport | None = None
         self.input = InputBuffer()
+        self.incomplete = IncompleteRequest()
         self.received_at = now
-        self.last_used_at = now
-        self.partial_since: float | None = None
+        self.last_used_at = listener.active_clock.now()
         self.write_blocked_at: float | None = None
         self.consecutive_malformed = 0
         self.discarded_bytes = 0
@@ -145,7 +147,7 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop has its own transport class
         # Each write is tried at once, so the size of the write buffer is that of unsent responses.
         self.transport.set_write_buffer_limits(high=0)
-        self.last_used_at = self.listener.clock()
+        self.last_used_at = self.listener.active_clock.now()
         self.listener.idle_connections.add_new(self)
         if self.listener.draining:
             # Accepted during the drain; without a first request it would stay open.
@@ -163,11 +165,13 @@
         if len(data) >= LARGE_READ_BYTES:
             # The event loop would read from this connection again before it serves others.
             self.yielding = True
+            self.incomplete.restart(listener.active_clock.now())
             self._schedule_turn()
         else:
             self.probe.drained_at = listener.stall_detector.last_active_at
             if self.input.may_be_complete() and not self.turn_scheduled:
                 self._parse()
+        self._fail_overdue_request()
         self._update_flow_control()
         if listener.buffered_bytes > listener.max_buffered_bytes:
             listener.reduce_input()
@@ -197,8 +201,10 @@
         if self.write_blocked_at is None:
             return
         self.write_blocked_at = None
+        now = self.listener.active_clock.now()
+        self.incomplete.restart(now)  # a client may send nothing while it can't read
         if self.closing:
-            self.last_used_at = self.listener.clock()  # its client has yet to read the last bytes
+            self.last_used_at = now  # its client has yet to read the last bytes
         self._schedule_turn()
 
     def eof_received(self) -> None:
@@ -225,10 +231,12 @@
         at, parse_end = self._handle_frames(data, rejecting)
         if not self.closing and self.transport is not None:
             self._keep_input(data[at:], parse_end)
-        if parse_end is not ParseEnd.PARTIAL:
-            self.partial_since = None
-        elif self.partial_since is None:
-            self.partial_since = self.received_at
+        if parse_end is ParseEnd.PARTIAL:
+            # Not `received_at`: since the last read, this process may have paused reading, and then
+            # the client could not send the rest.
+            self.incomplete.begin(self.listener.active_clock.now())
+        else:
+            self.incomplete.end()
         self.parsing = False
         self.flush()
         if parse_end is ParseEnd.TURN_OVER:
@@ -256,7 +264,7 @@
                     return at, ParseEnd.PARTIAL
                 frame = data[at:end]
                 at = end
-                self.partial_since = None
+                self.incomplete.end()
                 self._handle_frame(frame, rejecting)
             except MalformedFrameError as error:
                 self._fail(str(error))
@@ -375,6 +383,7 @@
         self.listener.log_malformed(reason)
         self.close_reason = close_reason
         self.closing = True
+        self.incomplete.end()
         self._drop_input()
         pending = PendingResponse(self)
         self._append(pending)
@@ -431,7 +440,7 @@
             return
         if self.busy and not self.pending:
             self.busy = False
-            self.last_used_at = self.listener.clock()
+            self.last_used_at = self.listener.active_clock.now()
             self.listener.idle_connections.add(self)
             if self.closing:
                 self.transport.write_eof()
@@ -454,7 +463,7 @@
         """Updates the size of the write buffer and whether the client reads its responses."""
         unsent = self.measure_unsent()
         if unsent > MAX_UNBLOCKED_BYTES and self.write_blocked_at is None:
-            self.write_blocked_at = self.listener.clock()
+            self.write_blocked_at = self.listener.active_clock.now()
             self._update_flow_control()
 
     def measure_unsent(self) -> int:
@@ -480,6 +489,7 @@
             self.transport.pause_reading()
             self.listener.hangup_watcher.watch(self)
         else:
+            self.incomplete.restart(self.listener.active_clock.now())
             self.transport.resume_reading()
             self.listener.hangup_watcher.unwatch(self)
 
@@ -501,7 +511,7 @@
         This can be the case although no request is open: the client does not read its responses, or
         the parsing of the requests behind a full pipeline is scheduled.
         """
-        complete_unparsed = bool(self.input.size) and self.partial_since is None
+        complete_unparsed = bool(self.input.size) and self.incomplete.waiting_since is None
         return bool(self.pending) or complete_unparsed or self.write_blocked_at is not None
 
     def close_if_idle(self) -> None:
@@ -547,27 +557,51 @@
             self.transport.write_eof()
 
     def enforce_timeouts(self, now: float) -> None:
-        """Closes a connection that makes no progress or is idle for too long.
+        """Closes a connection whose client makes no progress, or that is idle, for too long.
+
+        Each timeout runs from the start of the wait; single bytes do not extend it. It counts only
+        the time in which the client could act and this process could notice it.
 
-        Each timeout runs from the start of the wait; single bytes do not extend it.
+        Args:
+            now: The time of the active clock.
         """
         if self.transport is None:
             return
         if self.write_blocked_at is not None:
-            if now - self.write_blocked_at > PROGRESS_TIMEOUT_S:
+            if now - self.write_blocked_at > PROGRESS_TIMEOUT_S and not self._can_write_unsent():
                 self.abort(CloseReason.NOT_READING)
         elif self.closing and not self.pending:
-            if now - self.last_used_at > LINGER_TIME_S:
+            if now - self.last_used_at > LINGER_TIME_S and not self._can_write_unsent():
                 lingered = self.close_reason is CloseReason.CLIENT
                 self.abort(CloseReason.LINGER if lingered else self.close_reason)
-        elif self.partial_since is not None:
-            if now - self.partial_since > PROGRESS_TIMEOUT_S:
-                self._fail("the rest of the command did not come", CloseReason.INCOMPLETE)
+        elif self.incomplete.waiting_since is not None:
+            if self.incomplete.has_expired(now, PROGRESS_TIMEOUT_S):
+                self._expire_incomplete_request()
         elif not self.pending:
             new = self in self.listener.idle_connections.awaiting_first_request
             if now - self.last_used_at > (PROGRESS_TIMEOUT_S if new else IDLE_TIMEOUT_S):
                 self.close_if_idle()
 
+    def _can_write_unsent(self) -> bool:
+        """Returns whether the client has read so much that more responses can be written now.
+
+        Then the event loop, not the client, is the one that has not acted yet.
+        """
+        return bool(self.measure_unsent()) and self.probe.accepts_output()
+
+    def _expire_incomplete_request(self) -> None:
+        """Closes the connection, unless the rest of the request may have arrived unread."""
+        if self.reading_paused:
+            return
+        self.incomplete.overdue = True
+        if not self.has_unread_input():
+            self._fail_overdue_request()
+
+    def _fail_overdue_request(self) -> None:
+        """Closes the connection if its request is still incomplete after all bytes were parsed."""
+        if self.incomplete.overdue and not self.turn_scheduled:
+            self._fail("the rest of the command did not come", CloseReason.INCOMPLETE)
+
     def handle_disconnect(self) -> None:
         """Notifies the handler that the client no longer waits for its open requests."""
         if self.reading_paused:
--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -10,6 +10,7 @@
 from typing import Any, Final, cast
 
 from ingress.core.clock import Clock
+from ingress.transport.active_clock import ActiveClock
 from ingress.transport.client_connection import FIRST_REQUEST_GRACE_S, ClientConnection
 from ingress.transport.client_protocol import ClientProtocolFactory
 from ingress.transport.close_reason import CloseReason
@@ -43,6 +44,7 @@
         evicted: Connections closed in favour of new ones whose descriptors are not free yet.
         idle_connections: Connections without an open request, in eviction order.
         turns: The connections that have more input than one turn handles.
+        active_clock: The time in which the event loop could serve the connections, for timeouts.
         unsent_responses: The memory of responses that clients have not taken.
         buffered_bytes: Number of bytes received of incomplete requests, on all connections.
         read_ahead_bytes: Input of one connection above which reading pauses while parsing waits.
@@ -73,11 +75,12 @@
         self.turns = TurnQueue(self.loop)
         self.hangup_watcher = HangupWatcher(self.loop)
         self.stall_detector = StallDetector(self.loop, clock, STALL_THRESHOLD_S)
+        self.active_clock = ActiveClock(clock, STALL_THRESHOLD_S)
         self.buffered_bytes = 0
         self.max_buffered_bytes = max_buffered_bytes
         self.read_ahead_bytes = min(MAX_READ_AHEAD_BYTES, max_buffered_bytes // READ_AHEAD_DIVISOR)
         self.unsent_responses = UnsentResponses(max_buffered_bytes // 2)
-        self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep_again)
         self.attach_tasks: set[asyncio.Task[Any]] = set()
         self.draining = False
         self.accepting_paused = False
@@ -190,7 +193,7 @@
 
     def _evict_one(self) -> None:
         """Closes the connection that is first in eviction order, if any may be evicted."""
-        connection = self.idle_connections.pop_for_eviction(self.clock())
+        connection = self.idle_connections.pop_for_eviction(self.active_clock.now())
         if connection is not None and connection.transport is not None:
             self.evicted.add(connection)
             connection.abort(CloseReason.EVICTED)
@@ -240,10 +243,15 @@
 
     # Timeouts and shutdown
 
-    def _sweep(self) -> None:
-        self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+    def _sweep_again(self) -> None:
+        self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep_again)
+        self.sweep()
+
+    def sweep(self) -> None:
+        """Closes the connections whose clients make no progress, or that are idle, for too long."""
         self.stall_detector.arrival_time()
-        now = self.clock()
+        self.active_clock.tick()
+        now = self.active_clock.now()
         for connection in list(self.connections):
             connection.enforce_timeouts(now)
         self._resume_accepting()
@@ -259,7 +267,7 @@
         first, since its first request may be in transit.
         """
         self.draining = True
-        now = self.clock()
+        now = self.active_clock.now()
         new = self.idle_connections.awaiting_first_request
         for connection in list(self.connections):
             if connection in new and now - connection.last_used_at < FIRST_REQUEST_GRACE_S:
--- a/tests/support/races.py
+++ b/tests/support/races.py
@@ -100,9 +100,9 @@
     return data
 
 
-def send_now(caller: Caller, data: bytes) -> None:
+def send_now(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Writes to the socket directly, so that the data arrives before the ingress can read it."""
-    sock = caller.writer.get_extra_info("socket")
+    sock = writer.get_extra_info("socket")
     with socket.fromfd(sock.fileno(), socket.AF_INET, socket.SOCK_STREAM) as same:
         assert same.send(data) == len(data)
 
--- a/tests/test_shutdown_and_stalls.py
+++ b/tests/test_shutdown_and_stalls.py
@@ -90,7 +90,7 @@
             busy.writer.write(command("one"))
             await until(lambda: stub.events_of(RequestReceived))
             for caller, name in ((idle, "two"), (busy, "three")):
-                send_now(caller, command(name))
+                send_now(caller.writer, command(name))
             ingress.clients.drain()
             fail_all()
             await until(lambda: len(stub.events_of(RequestReceived)) == 3)
@@ -150,7 +150,7 @@
             caller = await Caller.connect(address)
             caller.writer.write(command("one"))
             await until(lambda: stub.events_of(RequestReceived))
-            send_now(caller, command("two"))  # not read yet when the listener closes
+            send_now(caller.writer, command("two"))  # not read yet when the listener closes
             ingress.exchange.fail_open_requests()
             ingress.clients.close()
             assert str(await caller.read_response()) == "ERR failed"
@@ -193,7 +193,7 @@
             stub = ScriptedPolicy(None)
             ingress.exchange.policy = stub
             caller = await connected_caller(address)
-            send_now(caller, command("old"))
+            send_now(caller.writer, command("old"))
             new = [
                 socket.create_connection(address) for _ in range(3 * client_listener.ACCEPT_BATCH)
             ]
@@ -277,7 +277,7 @@
             stub = ScriptedPolicy(None)
             ingress.exchange.policy = stub
             caller = await connected_caller(address)
-            send_now(caller, command("old", d=1000) + command("longer", d=2000))
+            send_now(caller.writer, command("old", d=1000) + command("longer", d=2000))
             clock.stalled_for += 1.2
             assert str(await caller.read_response()).startswith("BUSY")
             await until(lambda: stub.events_of(RequestReceived))
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -13,6 +13,7 @@
 import pytest
 
 from ingress.application import Application
+from ingress.core.clock import Clock
 from ingress.core.exchange import Exchange
 from ingress.platform import graceful_shutdown
 from ingress.policy.actions import Action
@@ -20,7 +21,7 @@
 from ingress.policy.settings import RequestClass
 from ingress.transport import client_connection, client_listener
 from ingress.transport.client_connection import ClientConnection
-from tests.peers import Address, Caller, command, config, resp, run, until
+from tests.peers import SETTINGS, Address, Caller, command, config, resp, run, until
 from tests.support.applications import ScriptedPolicy, running
 from tests.support.races import ingress_with_open_requests, is_closed, send_now
 from tests.test_http_clients import READ, HttpClient
@@ -121,14 +122,14 @@
 
 
 @asynccontextmanager
-async def ingress_with_all_front_ends() -> AsyncIterator[
-    tuple[Application, list[Address], ScriptedPolicy]
-]:
+async def ingress_with_all_front_ends(
+    clock: Clock | None = None, settings: dict[str, Any] = SETTINGS
+) -> AsyncIterator[tuple[Application, list[Address], ScriptedPolicy]]:
     """Runs an ingress with a listener for each kind of client; its policy leaves requests open.
 
     Yields the ingress, the addresses of its listeners and the policy.
     """
-    ingress = Application(config(), operator=OPERATOR)
+    ingress = Application(config(settings=settings), clock, operator=OPERATOR)
     stub = ScriptedPolicy(None)
     ingress.exchange.policy = stub
     async with running(ingress) as addresses:
@@ -176,7 +177,7 @@
             caller = await Caller.connect(address)
             caller.writer.write(command("one"))
             await until(lambda: stub.events_of(RequestReceived))
-            await shut_down(ingress, lambda: send_now(caller, command("two")))
+            await shut_down(ingress, lambda: send_now(caller.writer, command("two")))
             assert str(await caller.read_response()) == "ERR failed"
             assert str(await caller.read_response()) == "BUSY"
             assert await is_closed(caller)
