Do not evict a connection whose incomplete request was completed by a large read

Callers could lose requests that had been read in whole: their connection was closed to make room for a new one.

Cause: `owes_response` took input for an incomplete request as long as the timeout of one ran. After a read of 64 KB or more, parsing waits for the next turn, and until then the timeout of the earlier part still runs.

Change: input counts as owed as soon as it may hold a complete request, which the buffer knows from the last parse.

Measured: the new test failed in 3 of 3 runs before the change (end of the connection in place of 1200 responses) and passed in 3 of 3 after it; test_unparsed_requests, test_client_connections and test_client_timeouts pass. Seen in a test only.

--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -509,10 +509,10 @@
         """Returns whether a response is not written yet, or complete requests may be unparsed.
 
         This can be the case although no request is open: the client does not read its responses, or
-        the parsing of the requests behind a full pipeline is scheduled.
+        the parsing of the requests behind a full pipeline or in a large read is scheduled.
         """
-        complete_unparsed = bool(self.input.size) and self.incomplete.waiting_since is None
-        return bool(self.pending) or complete_unparsed or self.write_blocked_at is not None
+        unparsed = self.input.may_be_complete()
+        return bool(self.pending) or unparsed or self.write_blocked_at is not None
 
     def close_if_idle(self) -> None:
         """Closes the connection after all writes, unless a request is open or has arrived.
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -23,12 +23,18 @@
 from ingress.transport.client_connection import ClientConnection
 from tests.peers import SETTINGS, Address, Caller, command, config, resp, run, until
 from tests.support.applications import ScriptedPolicy, running
-from tests.support.races import ingress_with_open_requests, is_closed, send_now
+from tests.support.races import (
+    connected_caller,
+    ingress_with_open_requests,
+    is_closed,
+    send_now,
+)
 from tests.test_http_clients import READ, HttpClient
 from tests.test_resp3 import OPERATOR
 
 READ_BEHIND_THE_LIMIT = 6  # requests that are read together with those up to the limit
 MORE_THAN_ALL_RESPONSES = 64 << 20  # bytes
+MORE_THAN_A_LARGE_READ = 1200  # requests
 UNREAD = 30  # requests that stay in the socket buffer
 # Makes the shutdown fail the open requests 0.55 s after its start.
 SHORT_CLASS = RequestClass("read", latency_objective=0.1, deadline=0.1)
@@ -294,6 +300,35 @@
     run(body())
 
 
+def test_does_not_evict_a_connection_whose_incomplete_request_was_completed() -> None:
+    """Guards against dropping the requests of a large read, which waits for the next turn."""
+
+    async def body() -> None:
+        async with ingress_with_open_requests() as (ingress, address, stub, fail_all):
+            ingress.clients.max_connections = 2  # one place is kept free
+            caller = await connected_caller(address)
+            data = b"".join(command(f"{n:04}") for n in range(MORE_THAN_A_LARGE_READ))
+            caller.writer.write(data[:20])
+            connection = the_connection(ingress)
+            await until(lambda: connection.unparsed)
+            # The event loop reads the rest, and accepts a new connection before the next turn.
+            send_now(caller.writer, data[20:])
+            waiting = socket.create_connection(address)
+            await until(lambda: ingress.clients.connections != {connection})
+            reading = asyncio.create_task(read_responses(caller, MORE_THAN_A_LARGE_READ))
+            while not reading.done():
+                fail_all()
+                await asyncio.wait({reading}, timeout=0.002)
+            assert reading.result() == ["ERR failed"] * MORE_THAN_A_LARGE_READ
+            waiting.close()
+
+    run(body())
+
+
+async def read_responses(caller: Caller, count: int) -> list[str]:
+    return [str(await caller.read_response()) for _ in range(count)]
+
+
 def test_does_not_evict_a_connection_whose_responses_are_not_written_yet() -> None:
     """Guards against cutting a response, and against dropping the requests behind it."""
     limit = client_connection.MAX_PIPELINED_REQUESTS
