Read what backends sent during a hold-up before connects and attempts time out

Cause: an iteration of the event loop fires due timers before it reads from sockets, and `asyncio.timeout` cancels a task whose result is there but not delivered yet. After a hold-up that is longer than the timeout, the timer always comes first.

An attempt whose connection has unread bytes when it is due waits 2 ms for them, once.

--- a/ingress/core/ports.py
+++ b/ingress/core/ports.py
@@ -76,6 +76,8 @@
         incarnation: The backend's process for which the attempt was started; used by the upstream
             only.
         timer: A timer used by the upstream only.
+        overdue: Whether the deadline has passed while bytes of the backend were unread; used by the
+            upstream only.
         is_awaited: Returns whether the client surely still waits; the upstream asks before it
             writes an attempt that had to wait for a connection. None if no client waits.
         on_written: A function that the upstream calls once the whole attempt has been handed to the
@@ -93,6 +95,7 @@
         "is_awaited",
         "number",
         "on_written",
+        "overdue",
         "request_key",
         "sent_at",
         "timer",
@@ -120,6 +123,7 @@
         self.connection: Any = None
         self.incarnation = 0
         self.timer: TimerHandle | None = None
+        self.overdue = False
         self.is_awaited: Callable[[], bool] | None = None
         self.on_written: Callable[[Attempt], None] | None = None
 
--- a/ingress/transport/backend_pool.py
+++ b/ingress/transport/backend_pool.py
@@ -17,6 +17,7 @@
 from ingress.transport.backend_connection import BackendConnection, Endpoint
 from ingress.transport.backend_protocol import BackendProtocolFactory
 from ingress.transport.idle_limit import IdleLimit
+from ingress.transport.peer_timeout import PeerTimeout
 from ingress.transport.sampled_log import SampledLog
 
 log = logging.getLogger(__name__)
@@ -36,6 +37,7 @@
     errno.ENOMEM,
     errno.EADDRNOTAVAIL,
 )
+READ_DELAY_S: Final = 0.002  # for the event loop to read a response that has arrived
 SWEEP_INTERVAL_S: Final = 1.0  # between checks for connections that have been idle too long
 
 
@@ -233,6 +235,13 @@
             self.finish(attempt, Outcome.SUPERSEDED)
 
     def _time_out(self, attempt: Attempt) -> None:
+        connection = attempt.connection
+        if connection is not None and not attempt.overdue and connection.has_unread_input():
+            # The process was held up. The response may have arrived in time: timers fire before the
+            # event loop reads.
+            attempt.overdue = True
+            attempt.timer = self.timers.call_later(READ_DELAY_S, self._time_out, attempt)
+            return
         # An attempt without a connection was not written, so it did not run.
         self._abandon(attempt, Outcome.TIMEOUT if attempt.connection else Outcome.CONNECT_FAILED)
 
@@ -268,7 +277,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            async with asyncio.timeout(self.connect_timeout):
+            async with PeerTimeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, address)
             connection = BackendConnection(self, endpoint, incarnation, sock)
             await self.loop.create_connection(lambda: cast(asyncio.Protocol, connection), sock=sock)
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -304,7 +304,7 @@
     """Guards against dropping the requests of a large read, which waits for the next turn."""
 
     async def body() -> None:
-        async with ingress_with_open_requests() as (ingress, address, stub, fail_all):
+        async with ingress_with_open_requests() as (ingress, address, _, fail_all):
             ingress.clients.max_connections = 2  # one place is kept free
             caller = await connected_caller(address)
             data = b"".join(command(f"{n:04}") for n in range(MORE_THAN_A_LARGE_READ))
