Read the counter's answers that arrived during a hold-up before calls time out

After a hold-up longer than a call's timeout, calls that the counter had answered were reported as lost, connections with unread answers were dropped as silent, and connects that had come up failed. The policy then admits by estimates, and the connection is made anew.

Change: a call whose connection has unread input when it is due waits 2 ms, once; a connection with unread input is not silent; a retired connection reads what has arrived; connects use `PeerTimeout`. The two questions to a socket, asked by the counter's and the clients' connections, are functions of one module.

--- a/ingress/platform/counter_client.py
+++ b/ingress/platform/counter_client.py
@@ -11,6 +11,8 @@
 
 from ingress.core.clock import Clock
 from ingress.policy.events import CounterReply, Outcome
+from ingress.transport.peer_timeout import PeerTimeout
+from ingress.transport.socket_state import has_unread_input
 
 log = logging.getLogger(__name__)
 
@@ -19,6 +21,7 @@
 SILENCE_TIMEOUT_FACTOR: Final = 6  # replaces a silent connection after so many call timeouts
 IDLE_TIMEOUT_S: Final = 8.0  # the counter closes a connection after about 10 s of idleness
 MIN_IDLE_RECHECK_S: Final = 0.5
+READ_DELAY_S: Final = 0.002  # for the event loop to read an answer that has arrived
 MAX_LATE_ANSWER_AGE_S: Final = 2.0  # a later total mixes with additions by others since the call
 MAX_CONNECTIONS: Final = 8  # of the 32 that the counter accepts from one instance
 MAX_PENDING_CALLS: Final = 2000  # unanswered; further calls are rejected
@@ -33,15 +36,22 @@
 
 
 class CounterCall:
-    """One call, from the policy's `AddToCounter` to its `CounterReply`."""
+    """One call, from the policy's `AddToCounter` to its `CounterReply`.
 
-    __slots__ = ("key", "line", "reported", "started_at", "timer")
+    Attributes:
+        connection: The connection to which the call was written, or None.
+        overdue: Whether the timeout has passed while answers were unread.
+    """
+
+    __slots__ = ("connection", "key", "line", "overdue", "reported", "started_at", "timer")
 
     def __init__(self, key: int, line: bytes, started_at: float) -> None:
         self.key = key
         self.line = line
         self.started_at = started_at
         self.reported = False
+        self.overdue = False
+        self.connection: CounterConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -87,11 +97,24 @@
         """Closes the connection."""
         self.drop()
 
+    def has_unread_input(self) -> bool:
+        """Returns whether answers, or the end of the connection, have arrived and are not read."""
+        if self.transport is None:
+            return False
+        return has_unread_input(self.transport.get_extra_info("socket"))
+
     def retire(self, timeout: float) -> None:
         """Closes the connection after its last answer, or after `timeout` seconds."""
         self.retired = True
         if self.pending:
-            self.client.loop.call_later(timeout, self.drop)
+            self.client.loop.call_later(timeout, self._end_retirement)
+        else:
+            self.drop()
+
+    def _end_retirement(self) -> None:
+        """Closes the connection once the answers that have arrived are read."""
+        if self.has_unread_input():
+            self.client.loop.call_later(READ_DELAY_S, self.drop)
         else:
             self.drop()
 
@@ -175,7 +198,9 @@
         silent = [
             other
             for other in self.connections
-            if other.pending and other.pending[0].started_at < oldest
+            if other.pending
+            and other.pending[0].started_at < oldest
+            and not other.has_unread_input()
         ]
         for connection in silent:
             self.log_fault("silent connection replaced")
@@ -201,13 +226,14 @@
     def _write(self, connection: CounterConnection, call: CounterCall) -> None:
         assert connection.transport is not None
         connection.pending.append(call)
+        call.connection = connection
         connection.transport.write(call.line)
         connection.last_written_at = call.started_at
 
     async def _connect(self) -> None:
         connection: CounterConnection | None = None
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_FACTOR * self.timeout):
+            async with PeerTimeout(CONNECT_TIMEOUT_FACTOR * self.timeout):
                 _, connection = await self.loop.create_connection(
                     lambda: CounterConnection(self), *self.address
                 )
@@ -251,6 +277,13 @@
         The units of a call that was written may have been added, or may still be; the call keeps
         its place in the order of answers.
         """
+        connection = call.connection
+        if connection is not None and not call.overdue and connection.has_unread_input():
+            # The process was held up. The answer may have arrived in time: timers fire before the
+            # event loop reads.
+            call.overdue = True
+            call.timer = self.loop.call_later(READ_DELAY_S, self._time_out, call)
+            return
         call.timer = None
         never_sent = any(other is call for other in self.unsent)
         self.report(call, Outcome.CONNECT_FAILED if never_sent else Outcome.TIMEOUT)
--- a/ingress/transport/client_connection.py
+++ b/ingress/transport/client_connection.py
@@ -18,6 +18,7 @@
 from ingress.transport.pending_response import PendingResponse
 from ingress.transport.presence_probe import PresenceProbe
 from ingress.transport.response_queue import ResponseQueue
+from ingress.transport.socket_state import accepts_output
 
 if TYPE_CHECKING:
     from ingress.transport.client_listener import ClientListener
@@ -587,7 +588,7 @@
 
         Then the event loop, not the client, is the one that has not acted yet.
         """
-        return bool(self.measure_unsent()) and self.probe.accepts_output()
+        return bool(self.measure_unsent()) and accepts_output(self.sock)
 
     def _expire_incomplete_request(self) -> None:
         """Closes the connection, unless the rest of the request may have arrived unread."""
--- a/ingress/transport/peer_timeout.py
+++ b/ingress/transport/peer_timeout.py
@@ -45,10 +45,10 @@
         exception_type: type[BaseException] | None,
         exception: BaseException | None,
         traceback: TracebackType | None,
-    ) -> bool | None:
+    ) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        return await self.limit.__aexit__(exception_type, exception, traceback)
+        await self.limit.__aexit__(exception_type, exception, traceback)
 
     def _set_timer(self, delay: float) -> None:
         self.due_at = time.monotonic() + delay
--- a/ingress/transport/presence_probe.py
+++ b/ingress/transport/presence_probe.py
@@ -22,10 +22,9 @@
         drained_at: When all input that had arrived was read; in seconds of the clock.
     """
 
-    __slots__ = ("drained_at", "poll", "sock")
+    __slots__ = ("drained_at", "poll")
 
     def __init__(self, sock: socket.socket, now: float) -> None:
-        self.sock = sock
         self.drained_at = now
         self.poll = select.poll()
         self.poll.register(sock, PRESENCE_EVENTS)
@@ -34,12 +33,6 @@
         """Returns whether the socket has unread bytes or an unread end of the connection."""
         return bool(self.poll.poll(0))
 
-    def accepts_output(self) -> bool:
-        """Returns whether the socket has room for more output, or has failed."""
-        poll = select.poll()
-        poll.register(self.sock, select.POLLOUT)
-        return bool(poll.poll(0))
-
     def presence(self, now: float) -> ClientPresence:
         """Returns whether the client still waits, as far as the socket shows.
 
--- a/tests/test_client_timeouts.py
+++ b/tests/test_client_timeouts.py
@@ -16,6 +16,7 @@
 from ingress.transport.client_connection import LARGE_READ_BYTES, PROGRESS_TIMEOUT_S
 from ingress.transport.client_listener import SWEEP_INTERVAL_S
 from ingress.transport.close_reason import CloseReason
+from ingress.transport.socket_state import accepts_output
 from tests.peers import SETTINGS, Address, Caller, command, config, run, until
 from tests.support.applications import ScriptedPolicy, serving
 from tests.support.races import StallingClock, connected_caller, send_now
@@ -261,7 +262,7 @@
             # The client reads all that the system holds for it, before the event loop runs again.
             sock = caller.writer.get_extra_info("socket")
             with socket.fromfd(sock.fileno(), socket.AF_INET, socket.SOCK_STREAM) as same:
-                while not connection.probe.accepts_output():
+                while not accepts_output(connection.sock):
                     caller.parser.feed(same.recv(1 << 20))
             clock.stalled_for += LONG_WAIT_S
             ingress.clients.sweep()
--- a/tests/test_counter_client.py
+++ b/tests/test_counter_client.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -11,6 +15,7 @@
 from ingress.platform.counter_client import CounterClient
 from ingress.policy.events import CounterReply, Outcome
 from tests.peers import Address, Peer, Reader, Writer, run, until
+from tests.support.hold_ups import hold_up_between_reads
 
 
 class ClientHarness:
@@ -336,3 +341,76 @@
             assert not new.connections
 
     run(body())
+
+
+SHORT_TIMEOUT_S = 0.05
+LONG_HOLD_UP_S = 0.4  # longer than a connect, or the silence of a connection, may last
+
+
+@asynccontextmanager
+async def written_call() -> AsyncIterator[tuple[ClientHarness, socket.socket]]:
+    """Yields a client with one call, and the counter's socket, which has read it."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.setblocking(False)
+        harness = ClientHarness(server.getsockname(), SHORT_TIMEOUT_S)
+        harness.add()
+        connection, _ = await harness.counter.loop.sock_accept(server)
+        with connection:
+            connection.setblocking(False)
+            await harness.counter.loop.sock_recv(connection, 1 << 16)
+            yield harness, connection
+
+
+def test_an_answer_that_arrives_during_a_hold_up_is_read_before_its_call_times_out() -> None:
+    """Guards against a call reported as lost although the counter answered in time."""
+
+    async def body() -> None:
+        async with written_call() as (harness, connection):
+            await hold_up_between_reads(SHORT_TIMEOUT_S, lambda: connection.send(b"ok 5\r\n"))
+            assert await harness.reply() == (7, Outcome.OK, 5.0)
+            assert len(harness.replies) == 1
+
+    run(body())
+
+
+def test_a_connection_whose_answers_are_unread_after_a_hold_up_is_not_silent() -> None:
+    """Guards against dropping a working connection with all answers that have arrived."""
+
+    async def body() -> None:
+        async with written_call() as (harness, connection):
+
+            def answer_and_call_again() -> None:
+                connection.send(b"ok 5\r\n")
+                time.sleep(LONG_HOLD_UP_S)
+                harness.add()
+
+            await hold_up_between_reads(0.0, answer_and_call_again)
+            assert await harness.reply() == (7, Outcome.OK, 5.0)
+            assert not harness.counter.faults
+
+    run(body())
+
+
+def test_a_connection_that_comes_up_during_a_hold_up_is_kept() -> None:
+    """Guards against a counter that can't be used because each hold-up ends the connect."""
+
+    async def body() -> None:
+        async with scripted() as peer:
+            harness = ClientHarness(peer.address, SHORT_TIMEOUT_S)
+            harness.add()
+            asyncio.get_running_loop().call_soon(time.sleep, LONG_HOLD_UP_S)
+            await until(lambda: harness.counter.connecting is None)
+            assert len(harness.counter.connections) == 1
+
+    run(body())
+
+
+def test_a_call_on_a_silent_connection_times_out_after_a_hold_up() -> None:
+    """Guards against a call that is never reported."""
+
+    async def body() -> None:
+        async with written_call() as (harness, connection):
+            await hold_up_between_reads(SHORT_TIMEOUT_S, lambda: connection.send(b"o"))
+            assert await harness.reply() == (7, Outcome.TIMEOUT, 0.0)
+
+    run(body())
