Read the discovery agent's answer that arrived during a hold-up before the call times out

While hold-ups recur, changes of the list, drains among them, are read late.

Cause: the HTTP library's timeout cancels the call before the event loop reads.

Change: `PeerTimeout` limits the call; the library's own timeout is off.

--- a/ingress/platform/endpoint_discovery.py
+++ b/ingress/platform/endpoint_discovery.py
@@ -15,6 +15,7 @@
 from ingress.platform.drain_tracker import DrainTracker
 from ingress.platform.watch_backoff import WatchBackoff
 from ingress.policy.events import Backend, EndpointListKind, Readiness
+from ingress.transport.peer_timeout import PeerTimeout
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +37,7 @@
 # complete list may help.
 TRUNCATED_ANSWER_ERRORS = (aiohttp.ClientPayloadError, json.JSONDecodeError)
 OVERLOAD_STATUSES = (429, 503)
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None)  # of the library, which does not allow for hold-ups
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,8 +215,10 @@
             wait_ms = LONG_POLL_MS if self.watching or shared_service else LOCAL_FIRST_POLL_MS
             query = f"?after={self.version}&wait_ms={wait_ms}"
             timeout = wait_ms / 1000 + timeout
-        limit = aiohttp.ClientTimeout(total=timeout)
-        async with session.get(self.url + query, timeout=limit) as answer:
+        async with (
+            PeerTimeout(timeout),
+            session.get(self.url + query, timeout=NO_TIMEOUT) as answer,
+        ):
             if answer.status in OVERLOAD_STATUSES:
                 raise DiscoveryOverloadedError(f"status {answer.status}")
             if answer.status != 200:
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -19,6 +19,7 @@
 from ingress.platform.watch_backoff import WatchBackoff
 from ingress.policy.events import EndpointListKind, Readiness
 from tests.peers import Peer, Reader, Writer, entry, run, until
+from tests.support.hold_ups import hold_up_between_reads
 
 ADDRESS = ("127.0.0.1", 6379)
 OVERLOADED = b"503"  # represents an answer that rejects the call
@@ -302,3 +303,41 @@
         assert [call.partition("&")[0] for call in paths[1:3]] == ["/api/targets?after=3"] * 2
 
     run(body())
+
+
+DRAIN_GRACE_S = 1.0
+CALL_TIMEOUT_S = watch_backoff.LOCAL_TIMEOUT_FRACTION * DRAIN_GRACE_S
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_an_answer_that_arrives_during_a_hold_up_is_read_before_its_call_times_out(
+    answered: bool,
+) -> None:
+    """Guards against missing changes for as long as the process is held up again and again."""
+    body_bytes = listing(41, True, entry(ADDRESS))
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body_bytes)
+    ended: list[bool] = []
+
+    async def body() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            discovery = EndpointDiscovery(
+                server.getsockname(),
+                lambda *_: None,
+                WatchBackoff(Random(1), DRAIN_GRACE_S),
+                on_call_ended=ended.append,
+            )
+            task = asyncio.create_task(discovery.run())
+            connection, _ = await loop.sock_accept(server)
+            with connection:
+                connection.setblocking(False)
+                await loop.sock_recv(connection, 1 << 16)
+                answer = head + body_bytes if answered else head
+                await hold_up_between_reads(CALL_TIMEOUT_S, lambda: connection.send(answer))
+                await until(lambda: ended)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            assert ended[0] is answered
+
+    run(body())
