Read other instances' messages that arrived during a hold-up before acting on their silence

With [handover] or [members] enabled, an instance that had been held up took others for silent whose messages it had not read: it could take over their submissions, send a submission that another one holds, or suspect live members.

Cause: the periodic work runs as a due timer, so before the event loop reads; silence, probe timeouts and the longest delay of a decision counted the time in which this process did not run.

Change: after a gap of over 0.1 s between ticks, the handover leaves the gap out of the others' silence and reads once before it decides, also if it is held up each time; membership does its late tick 2 ms later. Dialing uses `PeerTimeout`.

--- a/ingress/components/handover_upstream.py
+++ b/ingress/components/handover_upstream.py
@@ -41,6 +41,7 @@
 log = logging.getLogger(__name__)
 
 TICK_INTERVAL_S: Final = 0.01
+MAX_TICK_GAP_S: Final = 0.1  # beyond, the process was held up and has not read messages
 INCARNATION_BYTES: Final = 8
 # The key in the reported counts for each outcome of a takeover.
 TAKEOVER_COUNTS: Final = {
@@ -163,6 +164,8 @@
         self.undecided: dict[int, Attempt] = {}  # by operation
         self.operations: dict[AttemptId, int] = {}  # of started attempts
         self.timer: asyncio.TimerHandle | None = None
+        self.ticked_at = now
+        self.tick_skipped = False  # the last one, so that messages are read first
         self.flush_scheduled = False
         self.last_takeover = 0
         self.takeovers = dict.fromkeys((*TAKEOVER_COUNTS.values(), "begun"), 0)
@@ -188,20 +191,41 @@
         if self.persistence is not None:
             self.persistence.store.commit()
         await self.connections.open()
-        self.timer = self.loop.call_later(TICK_INTERVAL_S, self._tick)
+        self.ticked_at = self.clock()
+        self.timer = self.loop.call_later(TICK_INTERVAL_S, self._tick_again)
 
-    def _tick(self) -> None:
-        self.timer = self.loop.call_later(TICK_INTERVAL_S, self._tick)
+    def _tick_again(self) -> None:
+        self.timer = self.loop.call_later(TICK_INTERVAL_S, self._tick_again)
+        self.tick()
+
+    def tick(self) -> None:
+        """Decides what is due, unless the process was held up: then messages are read first."""
         now = self.clock()
+        held_up = self._exclude_hold_up(now)
+        self.ticked_at = now
+        self.tick_skipped = held_up and not self.tick_skipped
+        if self.tick_skipped:
+            return
         self.coordinator.tick(now)
         for call in self.takeover_scheduler.due(now):
             self._take_over(call)
         self._flush()
 
+    def _exclude_hold_up(self, now: float) -> bool:
+        """Returns whether the process was held up; the others were not silent in that time."""
+        gap = now - self.ticked_at
+        if gap <= MAX_TICK_GAP_S:
+            return False
+        self.coordinator.exclude_hold_up(gap)
+        return True
+
     # Messages and decisions
 
     def _on_message(self, sender: str, message: Message) -> None:
-        self.coordinator.receive(self.clock(), sender, message)
+        now = self.clock()
+        if self._exclude_hold_up(now):
+            self.ticked_at = now
+        self.coordinator.receive(now, sender, message)
         self._flush_soon()
 
     def _on_connection_change(self, peer: str, connected: bool) -> None:
--- a/ingress/components/membership_transport.py
+++ b/ingress/components/membership_transport.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 TICK_INTERVAL_S: Final = 0.1
+READ_DELAY_S: Final = 0.002  # for the event loop to read the datagrams that have arrived
 PROBE_TIMEOUT_PERIODS: Final = 0.4  # protocol periods to wait for an ack
 DATAGRAMS_PER_TICK: Final = 64  # processed; further ones are dropped
 DATAGRAMS_PER_TICK_AND_MEMBER: Final = 4  # processed in addition, for each known member
@@ -76,6 +77,8 @@
         )
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.tick_due_at = now
+        self.tick_postponed = False
         self.datagram_budget = DATAGRAMS_PER_TICK  # for the rest of this tick
         self.rejected = 0
         self.dropped = 0
@@ -95,11 +98,21 @@
             sock.close()
             raise
         self.transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self._schedule_tick(self.clock())
+
+    def _schedule_tick(self, now: float) -> None:
+        self.tick_due_at = now + TICK_INTERVAL_S
         self.timer = self.loop.call_later(TICK_INTERVAL_S, self._tick)
 
     def _tick(self) -> None:
-        self.timer = self.loop.call_later(TICK_INTERVAL_S, self._tick)
         now = self.clock()
+        held_up = now - self.tick_due_at > TICK_INTERVAL_S
+        self.tick_postponed = held_up and not self.tick_postponed
+        if self.tick_postponed:
+            # Acks may have arrived; without them, the members would miss their probe timeouts.
+            self.timer = self.loop.call_later(READ_DELAY_S, self._tick)
+            return
+        self._schedule_tick(now)
         members = len(self.bridge.swim.table)
         self.datagram_budget = DATAGRAMS_PER_TICK + DATAGRAMS_PER_TICK_AND_MEMBER * members
         out, events = self.bridge.tick(now, *self.count_requests())
--- a/ingress/components/peer_connections.py
+++ b/ingress/components/peer_connections.py
@@ -27,6 +27,7 @@
     MalformedMessageError,
     Message,
 )
+from ingress.transport.peer_timeout import PeerTimeout
 
 log = logging.getLogger(__name__)
 
@@ -269,7 +270,7 @@
 
     async def _dial(self, connection: OutboundConnection) -> None:
         try:
-            async with asyncio.timeout(DIAL_TIMEOUT_S):
+            async with PeerTimeout(DIAL_TIMEOUT_S):
                 await self.loop.create_connection(lambda: connection, *connection.address)
         except (OSError, TimeoutError):
             if not self.closed:
--- a/ingress/handover/coordinator.py
+++ b/ingress/handover/coordinator.py
@@ -319,6 +319,11 @@
         )
         self.outbox.append((other, heartbeat))
 
+    def exclude_hold_up(self, seconds: float) -> None:
+        """Excludes a time in which this process read no messages from the silence of the others."""
+        for peer in self.peers.values():
+            peer.last_message_at += seconds
+
     def is_suspect(self, now: float, other: str) -> bool:
         """Returns whether an instance may be dead, partitioned or paused; these look the same."""
         peer = self.peers.get(other)
