Convert start times of backends to the program's clock when they are listed

Cause: discovery reports Unix time; the program's clock follows the monotonic clock from the process's start on, so that the two differ by the step, and the policy's age of a backend with them.

Change: `StartTimes` converts each start time once, with the difference of the clocks at that moment, or an earlier one if the start is from before the step. Without a step the values stay as they were, to the bit.

--- a/ingress/application.py
+++ b/ingress/application.py
@@ -19,6 +19,7 @@
 from ingress.platform.discovery_watch import DiscoveryWatch
 from ingress.platform.endpoint_discovery import EndpointList
 from ingress.platform.graceful_shutdown import drain
+from ingress.platform.start_times import StartTimes
 from ingress.policy.events import EndpointListKind
 from ingress.policy.gateway import Gateway
 from ingress.policy.settings import Settings
@@ -83,6 +84,7 @@
         self.exchange.counter = self.counter
         self.listeners = self._make_listeners(settings, operator)
         self.clients = self.listeners[0]
+        self.start_times = StartTimes(self.clock)
         self.address_owners = AddressOwners()
         self.discovery = DiscoveryWatch(config, self.update_endpoints)
         self.reloader = ConfigurationReloader(config, self.discovery, self.counter)
@@ -216,9 +218,10 @@
 
     def update_endpoints(self, kind: EndpointListKind, endpoints: EndpointList) -> None:
         """Passes a list to backends and policy, translated if protocol versions are configured."""
-        endpoints = self.address_owners.apply(kind is not EndpointListKind.UPDATE, endpoints)
+        complete = kind is not EndpointListKind.UPDATE
+        endpoints = self.start_times.convert(complete, endpoints)
+        endpoints = self.address_owners.apply(complete, endpoints)
         if self.translator is not None:
-            complete = kind is not EndpointListKind.UPDATE
             endpoints = self.translator.translate(endpoints, complete, self.clock())
         self.exchange.backends_changed(
             kind, endpoints.backends, endpoints.addresses, endpoints.version
