Open the listening socket again while the system lacks resources for a moment

Cause: the listener opened its socket once, and any OSError ended the process with status 1.

Change: ENOBUFS, ENOMEM, ENFILE, EMFILE and EINTR are tried again every 50 ms for 3 s, in a module of its own; other errors, such as an address in use, end the process at once as before.

Measured: tests/test_listening_socket.py, 7 passed: each error five times in a row, one that lasts, and an address in use. The module is new, so the tests could not run before it. test_client_connections and test_service passed.

--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -16,6 +16,7 @@
 from ingress.transport.close_reason import CloseReason
 from ingress.transport.hangup_watcher import HangupWatcher
 from ingress.transport.idle_connections import IdleConnections
+from ingress.transport.listening_socket import bind_listening_socket
 from ingress.transport.pending_response import RequestHandler
 from ingress.transport.sampled_log import SampledLog
 from ingress.transport.stall_detector import StallDetector
@@ -25,7 +26,6 @@
 log = logging.getLogger(__name__)
 
 BACKLOG: Final = 512  # connections that the system queues until they are accepted
-SOCKET_BUFFER_BYTES: Final = 128 * 1024  # of the system, for each direction of a connection
 ACCEPT_BATCH: Final = 16  # connections accepted per loop iteration; as many places are kept free
 SWEEP_INTERVAL_S: Final = 0.25  # between timeout checks of all connections
 STALL_THRESHOLD_S: Final = 2 * SWEEP_INTERVAL_S  # without a sweep or any read
@@ -88,13 +88,7 @@
         self.accept_failures = SampledLog(LOG_SAMPLING_INTERVAL)
         self.codec_faults = SampledLog(LOG_SAMPLING_INTERVAL)
         self.closures: Counter[CloseReason] = Counter()
-        self.listening_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listening_socket.setblocking(False)
-        self.listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted sockets inherit these sizes; by default the system buffers megabytes for each.
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self.listening_socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-        self.listening_socket.bind(address)
+        self.listening_socket = bind_listening_socket(address)
 
     def open(self) -> None:
         """Starts to accept connections."""
