Accept the connections behind an aborted one before the listening socket closes

Cause: ECONNABORTED ended the batch like an empty backlog, so `_accept_last` closed the listening socket.

Change: a batch goes on after ECONNABORTED; the error belongs to one connection.

Measured: the new test failed before (connection reset by peer) and passes now; test_shutdown_and_stalls and test_client_connections: 29 passed.

--- a/ingress/transport/client_listener.py
+++ b/ingress/transport/client_listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 from collections import Counter
@@ -113,7 +112,10 @@
                     self._evict_one()
                 self._pause_accepting()
                 return False
-            sock = self._accept_socket()
+            try:
+                sock = self._accept_socket()
+            except ConnectionAbortedError:
+                continue  # its client has left; other connections may wait behind it
             if sock is None:
                 return False
             self._add_connection(sock)
@@ -124,16 +126,21 @@
         return True
 
     def _accept_socket(self) -> socket.socket | None:
-        """Returns the socket of the next waiting connection, or None if none can be accepted."""
+        """Returns the socket of the next waiting connection, or None if none can be accepted.
+
+        Raises:
+            ConnectionAbortedError: The connection ended while it waited.
+        """
         try:
             sock, _ = self.listening_socket.accept()
         except BlockingIOError:
             return None
+        except ConnectionAbortedError:
+            raise
         except OSError as error:
-            if error.errno != errno.ECONNABORTED:
-                if self.accept_failures.record():
-                    log.warning("accept failed: %s", error)
-                self._pause_accepting()
+            if self.accept_failures.record():
+                log.warning("accept failed: %s", error)
+            self._pause_accepting()
             return None
         return sock
 
--- a/tests/test_shutdown_and_stalls.py
+++ b/tests/test_shutdown_and_stalls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 from typing import Any
 
@@ -22,7 +24,7 @@
     run,
     until,
 )
-from tests.support.applications import ScriptedPolicy, serving, start_attempt
+from tests.support.applications import ScriptedPolicy, running, serving, start_attempt
 from tests.support.races import (
     LONG_TIMEOUT_S,
     MAX_MACHINE_DELAY_S,
@@ -142,6 +144,39 @@
     run(body())
 
 
+class AbortedFirst(socket.socket):
+    """A listening socket whose first waiting connection has been aborted by its client."""
+
+    aborted = False
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if not self.aborted:
+            self.aborted = True
+            raise ConnectionAbortedError(errno.ECONNABORTED, os.strerror(errno.ECONNABORTED))
+        return super().accept()
+
+
+def test_accepts_the_connections_that_wait_behind_an_aborted_one_when_the_drain_begins() -> None:
+    """Guards against closing the listening socket over clients that have sent a request."""
+
+    async def body() -> None:
+        ingress = Application(config())
+        sock = AbortedFirst(fileno=ingress.clients.listening_socket.detach())
+        sock.setblocking(False)
+        ingress.clients.listening_socket = sock
+        async with running(ingress) as [address]:
+            waiting = socket.create_connection(address)
+            waiting.sendall(resp(b"PING"))
+            ingress.clients.drain()  # before the event loop has accepted the connection
+            assert sock.aborted
+            loop = asyncio.get_running_loop()
+            waiting.setblocking(False)
+            assert await loop.sock_recv(waiting, 100) == b"+PONG\r\n"
+            waiting.close()
+
+    run(body())
+
+
 def test_delivers_last_responses_to_a_client_that_keeps_sending() -> None:
     """Closing a socket with unread input would reset the connection and lose the responses."""
 
