Tests: clients of each kind, and the ingress with all their listeners, in support modules

Cause: test_client_timeouts imported set-up code from test_unparsed_requests, which imported it from two further test modules, and a second encoder of the same requests stood beside that of tests/support/front_ends.py.

Change: `HttpClient` and the front ends with their connect functions are in tests/support; the requests come from tests/support/front_ends.py. No assertion changes.

--- a/tests/test_client_timeouts.py
+++ b/tests/test_client_timeouts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -19,35 +18,30 @@
 from ingress.transport.socket_state import accepts_output
 from tests.peers import SETTINGS, Address, Caller, command, config, run, until
 from tests.support.applications import ScriptedPolicy, serving
-from tests.support.races import StallingClock, connected_caller, send_now
-from tests.support.time_steps import pass_time
-from tests.test_unparsed_requests import (
+from tests.support.open_front_ends import (
     FRONT_ENDS,
-    MORE_THAN_ALL_RESPONSES,
-    READ_BEHIND_THE_LIMIT,
     FrontEnd,
+    ReadOutcome,
     ingress_with_all_front_ends,
     the_connection,
 )
+from tests.support.races import StallingClock, connected_caller, send_now
+from tests.support.time_steps import pass_time
 
+READ_BEHIND_THE_LIMIT = 6  # requests that are read together with those up to the limit
+MORE_THAN_ALL_RESPONSES = 64 << 20  # bytes
 LONG_WAIT_S = PROGRESS_TIMEOUT_S + 1.0
 # A client that stops in the middle of a request is closed this long after its last byte at most.
 MAX_TIME_TO_CLOSE_S = 3.0
 PART_BYTES = 20  # of a request of which the rest comes later
 UNREAD_REQUESTS = 1200  # more than one large read
 RESPONSE_BYTES = 500_000  # a few of them exceed the buffers of both sockets
-ReadOutcome = Callable[[], Awaitable[str | None]]
+LONG_TIMEOUT_MS = 9000  # of a request that does not expire during a test
 LONG_DEADLINES = SETTINGS | {
-    "categories": [row | {"give-up-s": 9.0} for row in SETTINGS["categories"]]
+    "categories": [row | {"give-up-s": LONG_TIMEOUT_MS / 1000} for row in SETTINGS["categories"]]
 }
 
 
-def request_with_long_deadline(front_end: FrontEnd, request_id: str) -> bytes:
-    """Returns a request that does not expire during a test."""
-    data = front_end.request(request_id)
-    return data.replace(b"d=2000", b"d=9000").replace(b"Deadline-Ms: 2000", b"Deadline-Ms: 9000")
-
-
 async def outcomes(ingress: Application, read: ReadOutcome, count: int) -> list[str | None]:
     """Returns the outcomes of the next responses; fails the open requests until all have come."""
 
@@ -79,7 +73,7 @@
             listener.read_ahead_bytes = 1
             writer, read = await front_end.connect(addresses[front_end.listener])
             requests = [
-                request_with_long_deadline(front_end, f"{number:04}")
+                front_end.request(f"{number:04}", timeout_ms=LONG_TIMEOUT_MS)
                 for number in range(limit + READ_BEHIND_THE_LIMIT + UNREAD_REQUESTS)
             ]
             whole = len(b"".join(requests[: limit + READ_BEHIND_THE_LIMIT]))
@@ -123,7 +117,7 @@
         async with ingress_with_all_front_ends(clock, LONG_DEADLINES) as (ingress, addresses, _):
             listener = ingress.listeners[front_end.listener]
             writer, read = await front_end.connect(addresses[front_end.listener])
-            data = request_with_long_deadline(front_end, "1")
+            data = front_end.request("1", timeout_ms=LONG_TIMEOUT_MS)
             connection = the_connection(ingress, front_end.listener)
             if part_read_before:
                 writer.write(data[:PART_BYTES])
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -29,7 +29,7 @@
 )
 from tests.support.applications import ScriptedPolicy, running, start_attempt
 from tests.support.front_ends import FRONT_ENDS, FrontEndRequests
-from tests.test_resp3 import OPERATOR
+from tests.support.open_front_ends import OPERATOR
 
 DISCONNECT_LIMIT_S = 0.1  # after a client's disconnection no attempt of its requests may start
 UNREAD_BYTES = 16 << 20  # more than the socket buffers of both sides hold
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -13,7 +13,6 @@
 from uuid import uuid4
 
 import aiohttp
-import h11
 import pytest
 
 from ingress.application import Application
@@ -41,6 +40,7 @@
     value,
 )
 from tests.support.applications import ScriptedPolicy, running, start_attempt
+from tests.support.http_client import HttpClient
 from tests.test_http_backend_protocol import h11_server
 from tests.test_mixed_fleets import http_entry
 
@@ -85,46 +85,6 @@
         yield application, resp_address, http_address
 
 
-class HttpClient:
-    """A client connection on h11, which is independent of the codec under test."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer, self.http = reader, writer, h11.Connection(h11.CLIENT)
-
-    @classmethod
-    async def connect(cls, address: Address) -> HttpClient:
-        return cls(*await asyncio.open_connection(*address))
-
-    async def read_response(self, method: str = "GET") -> tuple[int, dict[str, str], Any]:
-        """Returns status, fields and JSON body of the next response, whichever request was sent."""
-        if self.http.our_state is h11.IDLE:
-            self.http.send(h11.Request(method=method, target="/", headers=[("Host", "x")]))
-            self.http.send(h11.EndOfMessage())
-        status, fields, body = 0, dict[str, str](), b""
-        while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                self.http.receive_data(await self.reader.read(1 << 16))
-            elif isinstance(event, h11.Response):
-                status, fields = (
-                    event.status_code,
-                    {name.decode(): text.decode() for name, text in event.headers},
-                )
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                raise EOFError
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
-            self.http.start_next_cycle()
-        return status, fields, json.loads(body)
-
-    async def request(self, data: bytes) -> tuple[int, dict[str, str], Any]:
-        self.writer.write(data)
-        return await self.read_response()
-
-
 async def send_with_aiohttp(
     session: aiohttp.ClientSession,
     address: Address,
--- a/tests/test_resp3.py
+++ b/tests/test_resp3.py
@@ -16,7 +16,6 @@
 
 from ingress.application import Application
 from ingress.core.calls import FAILED_RESPONSE, Call
-from ingress.platform.operator_config import AdditionalListener, OperatorConfig, ProtocolVersions
 from ingress.policy.actions import Action, FailRequest, RejectRequest
 from ingress.policy.events import Backend, Event, Outcome, RequestReceived
 from ingress.policy.settings import DeduplicationScope
@@ -40,8 +39,10 @@
     value,
 )
 from tests.support.applications import ScriptedPolicy, running
+from tests.support.http_client import HttpClient
+from tests.support.open_front_ends import OPERATOR
 from tests.test_http_backend_protocol import h11_server
-from tests.test_http_clients import BODY, READ, HttpClient, post_request
+from tests.test_http_clients import BODY, READ, post_request
 
 CALL = Call(
     b"r1",
@@ -254,15 +255,6 @@
     return peer
 
 
-OPERATOR = OperatorConfig(
-    ProtocolVersions(by_kind={"m2": "http-v2", "m3": "resp3-v2"}),
-    (
-        AdditionalListener(("127.0.0.1", 0), "resp3-v2"),
-        AdditionalListener(("127.0.0.1", 0), "http-v2"),
-    ),
-)
-
-
 @asynccontextmanager
 async def serving(
     address: Address, kind: str, scripted_policy: ScriptedPolicy | None = None
--- a/tests/test_unparsed_requests.py
+++ b/tests/test_unparsed_requests.py
@@ -4,33 +4,31 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable
 
-import h11
 import pytest
 
 from ingress.application import Application
-from ingress.core.clock import Clock
 from ingress.core.exchange import Exchange
 from ingress.platform import graceful_shutdown
 from ingress.policy.actions import Action
 from ingress.policy.events import Event, RequestReceived
 from ingress.policy.settings import MAX_PROCESS_PAUSE_S, RequestClass
 from ingress.transport import client_connection, client_listener
-from ingress.transport.client_connection import ClientConnection
-from tests.peers import SETTINGS, Address, Caller, command, config, resp, run, until
-from tests.support.applications import ScriptedPolicy, running
+from tests.peers import Caller, command, resp, run, until
+from tests.support.open_front_ends import (
+    FRONT_ENDS,
+    FrontEnd,
+    ingress_with_all_front_ends,
+    resp_outcome,
+    the_connection,
+)
 from tests.support.races import (
     connected_caller,
     ingress_with_open_requests,
     is_closed,
     send_now,
 )
-from tests.test_http_clients import READ, HttpClient
-from tests.test_resp3 import OPERATOR
 
 READ_BEHIND_THE_LIMIT = 6  # requests that are read together with those up to the limit
 MORE_THAN_ALL_RESPONSES = 64 << 20  # bytes
@@ -63,90 +61,6 @@
     await graceful_shutdown.drain(exchange, ingress.listeners, [SHORT_CLASS], ingress.loop.time)
 
 
-@dataclass(frozen=True, slots=True)
-class FrontEnd:
-    """A kind of client.
-
-    Attributes:
-        listener: The index of its listener.
-        request: Encodes the read request with an id.
-        connect: Connects; returns a function that reads the outcome of the next response: "failed"
-            or "rejected", or None at the end of the connection.
-    """
-
-    listener: int
-    request: Callable[[str], bytes]
-    connect: Any
-
-
-def resp_outcome(response: Any) -> str:
-    text = str(response)
-    assert text == "ERR failed" or text.startswith("BUSY"), text
-    return "failed" if text == "ERR failed" else "rejected"
-
-
-async def connect_resp(address: Address, greeting: bytes = b"") -> tuple[asyncio.StreamWriter, Any]:
-    caller = await Caller.connect(address)
-    if greeting:
-        await caller.request(greeting)
-
-    async def read() -> str | None:
-        try:
-            return resp_outcome(await caller.read_response())
-        except EOFError:
-            return None
-
-    return caller.writer, read
-
-
-async def connect_resp3(address: Address) -> tuple[asyncio.StreamWriter, Any]:
-    return await connect_resp(address, resp(b"HELLO", b"3"))
-
-
-async def connect_http(address: Address) -> tuple[asyncio.StreamWriter, Any]:
-    client = await HttpClient.connect(address)
-
-    async def read() -> str | None:
-        try:
-            status, _, _ = await client.read_response()
-        except (EOFError, ConnectionError, h11.RemoteProtocolError):
-            return None
-        return {500: "failed", 429: "rejected"}[status]
-
-    return client.writer, read
-
-
-def http_request(request_id: str) -> bytes:
-    return READ.replace("X-Request-Id: r1", f"X-Request-Id: {request_id}").encode()
-
-
-FRONT_ENDS = {
-    "resp2-v1": FrontEnd(0, command, connect_resp),
-    "resp3-v2": FrontEnd(1, command, connect_resp3),
-    "http-v2": FrontEnd(2, http_request, connect_http),
-}
-
-
-@asynccontextmanager
-async def ingress_with_all_front_ends(
-    clock: Clock | None = None, settings: dict[str, Any] = SETTINGS
-) -> AsyncIterator[tuple[Application, list[Address], ScriptedPolicy]]:
-    """Runs an ingress with a listener for each kind of client; its policy leaves requests open.
-
-    Yields the ingress, the addresses of its listeners and the policy.
-    """
-    ingress = Application(config(settings=settings), clock, operator=OPERATOR)
-    stub = ScriptedPolicy(None)
-    ingress.exchange.policy = stub
-    async with running(ingress) as addresses:
-        yield ingress, addresses, stub
-
-
-def the_connection(ingress: Application, listener: int = 0) -> ClientConnection:
-    [connection] = ingress.listeners[listener].connections
-    return connection
-
-
 @pytest.mark.parametrize("front_end", FRONT_ENDS.values(), ids=FRONT_ENDS)
 def test_a_shutdown_answers_the_requests_beyond_the_pipeline_limit(front_end: FrontEnd) -> None:
     """Guards against dropping them when the open requests are failed; backends hang till then."""
