--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -109,6 +109,12 @@
     assert completed.returncode == 0, completed.stdout
 
 
+def test_a_run_whose_link_holds_back_the_end_of_connections_keeps_all_rules() -> None:
+    """Guards against requests that get no answer behind an end that their client did not see."""
+    completed = soak("--seeds", "1", "--first-seed", "66046", "--seconds", "12")
+    assert completed.returncode == 0, completed.stdout
+
+
 def test_a_usage_error_and_an_interrupt_have_their_own_exit_status() -> None:
     assert command.main(["soak", "--seeds", "0"]) == command.USAGE_ERROR
     with subprocess.Popen(
