Tests: one set-up for a client that reads nothing, in the tests of clients' timeouts

Cause: two tests repeated the steps that start an ingress and block its writes. Change: a context manager; no assertion changes.

Measured: tests/test_client_timeouts.py: 19 passed, twice.

--- a/tests/test_client_timeouts.py
+++ b/tests/test_client_timeouts.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -16,7 +18,7 @@
 from ingress.transport.client_listener import SWEEP_INTERVAL_S
 from ingress.transport.close_reason import CloseReason
 from ingress.transport.socket_state import accepts_output
-from tests.peers import SETTINGS, Address, Caller, command, config, run, until
+from tests.peers import SETTINGS, Caller, command, config, run, until
 from tests.support.applications import ScriptedPolicy, serving
 from tests.support.open_front_ends import (
     FRONT_ENDS,
@@ -225,21 +227,25 @@
     run(body())
 
 
-async def block_writes(address: Address, ingress: Application, stub: ScriptedPolicy) -> Caller:
-    """Returns a client that has not read responses larger than the buffers of both sockets."""
-    ingress.clients.unsent_responses.max_bytes = MORE_THAN_ALL_RESPONSES
-    caller = await Caller.connect(address)
-    sock = caller.writer.get_extra_info("socket")
-    caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
+@asynccontextmanager
+async def client_that_reads_nothing(
+    clock: StallingClock,
+) -> AsyncIterator[tuple[Application, Caller]]:
+    """Yields an ingress and a client with more unread responses than both sockets buffer."""
     count = client_connection.MAX_PIPELINED_REQUESTS
-    with socket.fromfd(sock.fileno(), socket.AF_INET, socket.SOCK_STREAM) as same:
-        same.sendall(b"".join(command(str(n)) for n in range(count)))
-    await until(lambda: len(stub.events_of(RequestReceived)) == count)
-    connection = the_connection(ingress)
-    for pending in list(connection.pending):
-        pending.complete(b"$%d\r\n%b\r\n" % (RESPONSE_BYTES, bytes(RESPONSE_BYTES)))
-    await until(lambda: connection.write_blocked_at is not None)
-    return caller
+    async with serving(config(), clock) as (ingress, address):
+        stub = ScriptedPolicy(None)
+        ingress.exchange.policy = stub
+        ingress.clients.unsent_responses.max_bytes = MORE_THAN_ALL_RESPONSES
+        caller = await Caller.connect(address)
+        caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        send_now(caller.writer, b"".join(command(str(n)) for n in range(count)))
+        await until(lambda: len(stub.events_of(RequestReceived)) == count)
+        connection = the_connection(ingress)
+        for pending in list(connection.pending):
+            pending.complete(b"$%d\r\n%b\r\n" % (RESPONSE_BYTES, bytes(RESPONSE_BYTES)))
+        await until(lambda: connection.write_blocked_at is not None)
+        yield ingress, caller
 
 
 def test_a_client_that_reads_during_a_stall_is_not_closed() -> None:
@@ -247,10 +253,7 @@
 
     async def body() -> None:
         clock = StallingClock()
-        async with serving(config(), clock) as (ingress, address):
-            stub = ScriptedPolicy(None)
-            ingress.exchange.policy = stub
-            caller = await block_writes(address, ingress, stub)
+        async with client_that_reads_nothing(clock) as (ingress, caller):
             connection = the_connection(ingress)
             pass_time(clock, ingress.clients, PROGRESS_TIMEOUT_S - SWEEP_INTERVAL_S)
             # The client reads all that the system holds for it, before the event loop runs again.
@@ -273,10 +276,7 @@
 
     async def body() -> None:
         clock = StallingClock()
-        async with serving(config(), clock) as (ingress, address):
-            stub = ScriptedPolicy(None)
-            ingress.exchange.policy = stub
-            caller = await block_writes(address, ingress, stub)
+        async with client_that_reads_nothing(clock) as (ingress, caller):
             connection = the_connection(ingress)
             pass_time(clock, ingress.clients, LONG_WAIT_S)
             assert connection.close_reason is CloseReason.NOT_READING
