--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -105,6 +105,11 @@
         assert client.served >= MIN_SERVED_SHARE * client.answered
 
 
+def test_clients_that_send_short_fields_at_full_speed_do_not_delay_others(tmp_path: Path) -> None:
+    """Guards against another client's request without an answer while many keep the loop busy."""
+    run(_withstand("short_fields_at_full_speed", "resp2-v1", tmp_path))
+
+
 @pytest.mark.parametrize("front_end", FRONT_ENDS)
 @pytest.mark.parametrize(
     "behaviour", ["write_slowly", "stop_half_way", "short_fields", "read_nothing"]
